--- a/src/base/eventlog.h
+++ b/src/base/eventlog.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/linewriter.h"
 #include "base/result.h"
 #include "base/types/eventdefinition.h"
 
@@ -59,7 +60,7 @@
   std::vector<EventField> fields;
 };
 
-/// Writes numbered events as JSON lines through log4cplus and keeps the latest in memory,
+/// Writes numbered events as JSON lines, through log4cplus or a bounded writer, and keeps the latest in memory,
 /// from which `savoryrill explain` reads. Not thread safe: one per process, used by its
 /// loop.
 class EventLog
@@ -73,6 +74,14 @@
                                                   Severity aMinimum,
                                                   std::size_t aCapacity = 20000);
 
+  /// Logs to standard output with bounded volume, and never waits for its reader: lines
+  /// that are not taken, or are above `aLimits`, are dropped, and a line tells how many.
+  /// log4cplus appenders wait for a slow reader, so this log does without them. Keeps
+  /// only few events in memory. Never fails.
+  static std::unique_ptr<EventLog> createOnStandardOutput(std::string aProcess,
+                                                          Severity aMinimum,
+                                                          LineWriter::Limits aLimits);
+
   /// A log that only keeps events in memory, for tests. Never fails.
   static std::unique_ptr<EventLog> createInMemory();
 
@@ -93,6 +102,7 @@
 
 private:
   struct Sink;
+  void writeBounded(const RecordedEvent& aEvent, Severity aSeverity);
   EventLog(std::string aProcess,
            Severity aMinimum,
            std::size_t aCapacity,
--- a/src/base/internal/eventlog.cpp
+++ b/src/base/internal/eventlog.cpp
@@ -9,6 +9,11 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <optional>
+#include <unistd.h>
+
+#include "base/jsontext.h"
+#include "base/types/baseevents.h"
 
 namespace savoryrill {
 
@@ -17,6 +22,7 @@
   // Must outlive every logger of the process.
   std::unique_ptr<log4cplus::Initializer> initializer;
   log4cplus::Logger logger;
+  std::optional<LineWriter> writer; // in place of the logger
 };
 
 namespace {
@@ -75,6 +81,19 @@
     new EventLog(std::move(aProcess), aMinimum, aCapacity, std::move(sink)));
 }
 
+std::unique_ptr<EventLog>
+EventLog::createOnStandardOutput(std::string aProcess,
+                                 Severity aMinimum,
+                                 LineWriter::Limits aLimits)
+{
+  // No operator port reads these events, so a few suffice.
+  constexpr std::size_t kCapacity = 16;
+  auto sink = std::make_unique<Sink>();
+  sink->writer.emplace(STDOUT_FILENO, aLimits);
+  return std::unique_ptr<EventLog>(
+    new EventLog(std::move(aProcess), aMinimum, kCapacity, std::move(sink)));
+}
+
 std::unique_ptr<EventLog>
 EventLog::createInMemory()
 {
@@ -96,7 +115,9 @@
 
 EventLog::~EventLog()
 {
-  if (mSink) {
+  if (mSink && mSink->writer) {
+    mSink->writer->flush();
+  } else if (mSink) {
     mSink->logger.removeAllAppenders();
   }
 }
@@ -114,7 +135,9 @@
   event.number = aDefinition.number;
   event.name = std::string(aDefinition.name);
   event.fields.assign(aFields.begin(), aFields.end());
-  if (mSink) {
+  if (mSink && mSink->writer) {
+    writeBounded(event, aDefinition.severity);
+  } else if (mSink) {
     mSink->logger.log(levelOf(aDefinition.severity), toJson(event, mProcess));
   }
   mEvents.push_back(std::move(event));
@@ -123,6 +146,25 @@
   }
 }
 
+void
+EventLog::writeBounded(const RecordedEvent& aEvent, Severity aSeverity)
+{
+  auto& writer = *mSink->writer;
+  const bool failure = aSeverity >= Severity::Warning;
+  if (!writer.write(toJson(aEvent, mProcess), failure)) {
+    return;
+  }
+  if (const auto dropped = writer.takeNewlyDropped(); dropped > 0) {
+    RecordedEvent notice;
+    notice.sequence = ++mSequence;
+    notice.wallMs = aEvent.wallMs;
+    notice.number = kLinesDropped.number;
+    notice.name = std::string(kLinesDropped.name);
+    notice.fields.emplace_back("dropped", dropped);
+    writer.write(toJson(notice, mProcess), true);
+  }
+}
+
 std::vector<RecordedEvent>
 EventLog::eventsAfter(std::uint64_t aAfter) const
 {
@@ -162,9 +204,7 @@
   for (const auto& field : aEvent.fields) {
     line[field.key] = field.value;
   }
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, line);
+  return toCompactJson(line);
 }
 
 } // namespace savoryrill
--- a/src/base/internal/jsontext.cpp
+++ b/src/base/internal/jsontext.cpp
@@ -15,13 +15,16 @@
 Result<Json::Value>
 parseJson(std::string_view aText)
 {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  builder["strictRoot"] = false;
-  builder["stackLimit"] = kMaxNesting;
-  builder["failIfExtra"] = true;
-  builder["rejectDupKeys"] = true;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  static const Json::CharReaderBuilder kBuilder = [] {
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["strictRoot"] = false;
+    builder["stackLimit"] = kMaxNesting;
+    builder["failIfExtra"] = true;
+    builder["rejectDupKeys"] = true;
+    return builder;
+  }();
+  const std::unique_ptr<Json::CharReader> reader(kBuilder.newCharReader());
   Json::Value value;
   std::string problems;
   try {
@@ -38,10 +41,13 @@
 std::string
 toCompactJson(const Json::Value& aValue)
 {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  builder["emitUTF8"] = true;
-  return Json::writeString(builder, aValue);
+  static const Json::StreamWriterBuilder kBuilder = [] {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return builder;
+  }();
+  return Json::writeString(kBuilder, aValue);
 }
 
 const Json::Value&
@@ -64,4 +70,11 @@
   return member.asString();
 }
 
+bool
+flagMember(const Json::Value& aObject, std::string_view aName)
+{
+  const Json::Value& member = memberOf(aObject, aName);
+  return member.isBool() && member.asBool();
+}
+
 } // namespace savoryrill
--- a/src/base/jsontext.h
+++ b/src/base/jsontext.h
@@ -42,4 +42,8 @@
 std::optional<std::string>
 stringMember(const Json::Value& aObject, std::string_view aName);
 
+/// True if member `aName` of an object is the value true. Thread safe.
+bool
+flagMember(const Json::Value& aObject, std::string_view aName);
+
 } // namespace savoryrill
--- a/src/base/types/baseevents.h
+++ b/src/base/types/baseevents.h
@@ -18,5 +18,17 @@
                                                 Severity::Info,
                                                 "drain-started",
                                                 "A graceful shutdown has begun." };
+inline constexpr EventDefinition kSettingsReloaded{
+  1004,
+  Severity::Info,
+  "settings-reloaded",
+  "The settings file was read again; `changed` tells whether anything differs."
+};
+inline constexpr EventDefinition kLinesDropped{
+  1005,
+  Severity::Warning,
+  "log-lines-dropped",
+  "Log lines were dropped, since their reader is slow or their rate above its limit."
+};
 
 } // namespace savoryrill
--- /dev/null
+++ b/src/config/gatewaysettings.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/result.h"
+#include "base/types/eventdefinition.h"
+#include "base/types/time.h"
+#include "config/settings.h"
+#include "config/types/finding.h"
+
+namespace savoryrill::config {
+
+/// What a gateway process reads from its settings file (JSON with comments).
+struct GatewaySettings
+{
+  std::string host;
+  std::string dataCentre;
+  SocketAddress callerAddress;    // listens for callers
+  SocketAddress readinessAddress; // listens for the balancer
+  SocketAddress peerAddress;      // listens for other gateways, ZeroMQ
+  std::optional<SocketAddress> metricsAddress; // listens for the metrics collector
+  SocketAddress storeAddress;                  // the platform's table
+  Severity logLevel = Severity::Info;
+  std::uint32_t logBytesPerSecond = 64 * 1024; // lines above it are dropped and counted
+  Duration drainLimit = 8s;    // between SIGTERM and the end of the process
+  Duration orderTurnTime = 3s; // between orders of two hosts to one engine
+  double retryShare = 0.2;     // repeated sends for each request of an upstream group
+  double retryReserve = 50;    // and this many more in a while, of all hosts together
+  std::uint32_t maxConnections = 1500; // of callers
+};
+
+struct CheckedGatewaySettings
+{
+  Findings findings;
+  GatewaySettings settings; // meaningful only without errors
+};
+
+/// Checks a settings text and collects all findings. Never fails. Thread safe.
+CheckedGatewaySettings
+checkGatewaySettings(const std::string& aName, const std::string& aText);
+
+/// Reads and checks a settings file. Fails with NotFound if it cannot be read; findings
+/// are in the result. Thread safe.
+Result<CheckedGatewaySettings>
+readGatewaySettings(const std::string& aPath);
+
+} // namespace savoryrill::config
--- /dev/null
+++ b/src/config/internal/gatewaysettings.cpp
@@ -0,0 +1,101 @@
+#include "config/gatewaysettings.h"
+
+#include <map>
+
+#include "config/address.h"
+#include "config/internal/document.h"
+#include "config/internal/objectreader.h"
+#include "config/internal/settingsfile.h"
+
+namespace savoryrill::config {
+
+namespace {
+
+constexpr IntegerRange kTimeMs{ 0, 3'600'000 };
+constexpr IntegerRange kConnections{ 1, 1'000'000 };
+constexpr IntegerRange kLogRate{ 1024, 100'000'000 };
+constexpr Range<double> kShare{ 0.0, 10.0 };
+constexpr Range<double> kReserve{ 0.0, 1'000'000.0 };
+
+class GatewaySettingsReader
+{
+public:
+  GatewaySettingsReader(const ReadContext& aContext, const Json::Value& aRoot)
+    : mContext(aContext)
+    , mRoot(aContext, {}, aRoot)
+  {
+  }
+
+  GatewaySettings run()
+  {
+    mRoot.text("host", mSettings.host, checkName, Presence::Required);
+    mRoot.text("data_centre", mSettings.dataCentre, checkName, Presence::Required);
+    readAddress("caller_address", mSettings.callerAddress);
+    readAddress("readiness_address", mSettings.readinessAddress);
+    readAddress("peer_address", mSettings.peerAddress);
+    SocketAddress metrics;
+    if (readAddress("metrics_address", metrics, Presence::Optional)) {
+      mSettings.metricsAddress = metrics;
+    }
+    readAddress("store_address", mSettings.storeAddress);
+    mRoot.enumeration("log_level", mSettings.logLevel);
+    mRoot.integer("log_bytes_per_second", mSettings.logBytesPerSecond, kLogRate);
+    mRoot.milliseconds("drain_limit_ms", mSettings.drainLimit, kTimeMs);
+    mRoot.milliseconds("order_turn_ms", mSettings.orderTurnTime, kTimeMs);
+    mRoot.real("retry_share", mSettings.retryShare, kShare);
+    mRoot.real("retry_reserve", mSettings.retryReserve, kReserve);
+    mRoot.integer("max_connections", mSettings.maxConnections, kConnections);
+    mRoot.finish();
+    return std::move(mSettings);
+  }
+
+private:
+  bool readAddress(std::string_view aKey,
+                   SocketAddress& aTarget,
+                   Presence aPresence = Presence::Required)
+  {
+    std::string text;
+    mRoot.text(aKey, text, checkListenAddress, aPresence);
+    const auto address = parseAddress(text);
+    if (!address) {
+      return false;
+    }
+    aTarget = *address;
+    const auto [first, inserted] = mUsed.try_emplace(text, aKey);
+    if (!inserted && address->port != 0) {
+      mContext.error(mRoot.pathOf(aKey),
+                     inQuotes(text) + " is also the value of " + first->second);
+    }
+    return true;
+  }
+
+  const ReadContext& mContext;
+  ObjectReader mRoot;
+  GatewaySettings mSettings;
+  std::map<std::string, std::string> mUsed;
+};
+
+} // namespace
+
+CheckedGatewaySettings
+checkGatewaySettings(const std::string& aName, const std::string& aText)
+{
+  FindingCollector findings;
+  CheckedGatewaySettings result;
+  if (const auto document = Document::parse(aName, aText, findings)) {
+    const Locator locator(*document);
+    const ReadContext context{ locator, findings };
+    result.settings = GatewaySettingsReader(context, document->root()).run();
+  }
+  result.findings = findings.take();
+  return result;
+}
+
+Result<CheckedGatewaySettings>
+readGatewaySettings(const std::string& aPath)
+{
+  BOOST_OUTCOME_TRY(text, readSettingsFile(aPath));
+  return checkGatewaySettings(aPath, text);
+}
+
+} // namespace savoryrill::config
--- a/src/config/internal/settings.cpp
+++ b/src/config/internal/settings.cpp
@@ -1,12 +1,11 @@
 #include "config/settings.h"
 
 #include <filesystem>
-#include <fstream>
 #include <map>
-#include <sstream>
 
 #include "config/internal/document.h"
 #include "config/internal/objectreader.h"
+#include "config/internal/settingsfile.h"
 
 namespace savoryrill::config {
 
@@ -17,15 +16,6 @@
 constexpr IntegerRange kConnections{ 1, 1'000'000 };
 constexpr IntegerRange kBodyBytes{ 1024, 1'073'741'824 };
 
-Complaint
-checkListenAddress(std::string_view aText)
-{
-  if (!parseAddress(aText)) {
-    return inQuotes(aText) + " is not a numeric address and port such as 127.0.0.1:8080";
-  }
-  return std::nullopt;
-}
-
 class SettingsReader
 {
 public:
@@ -163,15 +153,8 @@
 Result<CheckedSettings>
 readSettings(const std::string& aPath)
 {
-  std::ifstream file(aPath, std::ios::binary);
-  std::ostringstream text;
-  // Without data, inserting a stream buffer sets failbit; an empty file is read all the
-  // same, so that it gets a finding.
-  if (!file.is_open() || std::filesystem::is_directory(aPath)) {
-    return fail(ErrorCode::NotFound, "cannot read settings file " + aPath);
-  }
-  text << file.rdbuf();
-  return checkSettings(aPath, text.str());
+  BOOST_OUTCOME_TRY(text, readSettingsFile(aPath));
+  return checkSettings(aPath, text);
 }
 
 } // namespace savoryrill::config
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -15,6 +15,8 @@
 {
   std::string address = "127.0.0.1"; // numeric
   std::uint16_t port = 0;
+
+  friend bool operator==(const SocketAddress&, const SocketAddress&) = default;
 };
 
 struct PeerSettings
--- a/src/daemon/internal/commandline.cpp
+++ b/src/daemon/internal/commandline.cpp
@@ -8,17 +8,8 @@
 
 namespace savoryrill::daemon {
 
-namespace {
-
-constexpr int kUsageError = 2;
-
-} // namespace
-
-int
-runWithSettings(const char* aProcess,
-                int aCount,
-                const char** aArguments,
-                int (*aRun)(const config::Settings&))
+std::optional<std::string>
+settingsPath(const char* aProcess, int aCount, const char** aArguments)
 {
   char* settings_path = nullptr;
   const poptOption options[] = {
@@ -31,21 +22,40 @@
   const std::unique_ptr<char, decltype(&std::free)> path(settings_path, &std::free);
   if (parsed < -1) {
     std::cerr << poptBadOption(context.get(), 0) << ": " << poptStrerror(parsed) << '\n';
-    return kUsageError;
+    return std::nullopt;
   }
   if (poptGetArg(context.get()) != nullptr || path == nullptr) {
     std::cerr << "usage: " << aProcess << " --settings FILE\n";
+    return std::nullopt;
+  }
+  return std::string(path.get());
+}
+
+bool
+acceptFindings(const config::Findings& aFindings)
+{
+  for (const auto& finding : aFindings) {
+    std::cerr << config::toString(finding) << '\n';
+  }
+  return !config::hasErrors(aFindings);
+}
+
+int
+runWithSettings(const char* aProcess,
+                int aCount,
+                const char** aArguments,
+                int (*aRun)(const config::Settings&))
+{
+  const auto path = settingsPath(aProcess, aCount, aArguments);
+  if (!path) {
     return kUsageError;
   }
-  const auto checked = config::readSettings(path.get());
+  const auto checked = config::readSettings(*path);
   if (!checked.has_value()) {
     std::cerr << checked.error().message << '\n';
     return kUsageError;
   }
-  for (const auto& finding : checked.value().findings) {
-    std::cerr << config::toString(finding) << '\n';
-  }
-  if (config::hasErrors(checked.value().findings)) {
+  if (!acceptFindings(checked.value().findings)) {
     return kUsageError;
   }
   // A peer that has closed its connection must not end the process.
--- /dev/null
+++ b/src/gateway/internal/leadertask.cpp
@@ -0,0 +1,613 @@
+#include "gateway/internal/leadertask.h"
+
+#include <algorithm>
+
+#include "gateway/internal/peercodec.h"
+#include "gateway/internal/leaderrowcodec.h"
+#include "gateway/types/gatewayevents.h"
+
+namespace savoryrill::gateway {
+
+using serving::LeadershipStep;
+
+namespace {
+
+constexpr const char* kLeaderTable = "savoryrill-leader";
+constexpr const char* kLeaderKey = "placement";
+// Period of all checks; also the least time between two plans without news.
+constexpr Duration kTickPeriod = 100ms;
+// Demand is reported at once when it appears, and again after this time.
+constexpr Duration kDemandPeriod = 400ms;
+// Replica views are sent when they change. A message without any is the sign of life.
+constexpr Duration kNewsPeriod = 500ms;
+// All views are sent again after this time, which repairs lost messages.
+constexpr Duration kAllViewsPeriod = 5s;
+constexpr Duration kOrderTimeout = 700ms;
+constexpr Duration kReportTimeout = 500ms;
+constexpr Duration kPeerHeartbeat = 500ms;
+constexpr Duration kPeerTimeout = 1500ms;
+constexpr std::uint64_t kTermLimit = 0xFFFFFFFFFFFFULL;
+
+transport::LocalPeer
+localPeer(const config::GatewaySettings& aSettings, std::uint64_t aIncarnation)
+{
+  transport::LocalPeer local;
+  local.role = peer::ROLE_CONTROLLER;
+  local.host = aSettings.host;
+  local.dataCentre = aSettings.dataCentre;
+  local.incarnation = aIncarnation;
+  local.bindEndpoint = link::toString(aSettings.peerAddress);
+  local.heartbeatPeriod = kPeerHeartbeat;
+  local.peerTimeout = kPeerTimeout;
+  return local;
+}
+
+serving::Leadership::Options
+leadershipOptions(const config::GatewaySettings& aSettings)
+{
+  serving::Leadership::Options options;
+  options.host = aSettings.host;
+  options.endpoint = link::toString(aSettings.peerAddress);
+  options.turnTime = aSettings.orderTurnTime;
+  return options;
+}
+
+std::string
+controlKey(const std::string& aUpstream)
+{
+  return "control/" + aUpstream;
+}
+
+} // namespace
+
+Result<std::unique_ptr<LeaderTask>>
+LeaderTask::create(Dependencies aDependencies,
+                   const config::GatewaySettings& aSettings,
+                   Handlers aHandlers,
+                   std::uint64_t aSeed)
+{
+  std::unique_ptr<LeaderTask> task(
+    new LeaderTask(aDependencies, aSettings, std::move(aHandlers), aSeed));
+  const auto incarnation =
+    static_cast<std::uint64_t>(aDependencies.loop.now().time_since_epoch().count());
+  BOOST_OUTCOME_TRY(peers,
+                    transport::PeerNetwork::create(aDependencies.loop,
+                                                   localPeer(aSettings, incarnation),
+                                                   {},
+                                                   aDependencies.log,
+                                                   aDependencies.metrics,
+                                                   *task));
+  task->mPeers = std::move(peers);
+  task->mTimer =
+    aDependencies.loop.every(kTickPeriod, [raw = task.get()] { raw->tick(); });
+  return task;
+}
+
+LeaderTask::LeaderTask(Dependencies aDependencies,
+                       const config::GatewaySettings& aSettings,
+                       Handlers aHandlers,
+                       std::uint64_t aSeed)
+  : mDependencies(aDependencies)
+  , mSettings(aSettings)
+  , mHandlers(std::move(aHandlers))
+  , mRandom(aSeed)
+  , mLeadership(leadershipOptions(aSettings))
+{
+}
+
+LeaderTask::~LeaderTask() = default;
+
+void
+LeaderTask::setConfig(const serving::ServingConfig& aConfig)
+{
+  mProfiles.clear();
+  for (const auto& [name, group] : aConfig.groups) {
+    if (group.engine) {
+      mProfiles[name] = *group.engine;
+    }
+  }
+  for (auto& [name, planner] : mPlanners) {
+    if (const auto profile = mProfiles.find(name); profile != mProfiles.end()) {
+      planner->setProfile(profile->second);
+    }
+  }
+}
+
+void
+LeaderTask::upstreamsChanged(const std::vector<serving::DirectoryChange>& aChanges)
+{
+  for (const auto& change : aChanges) {
+    if (change.kind == serving::DirectoryChange::Kind::Vanished) {
+      for (auto& [name, planner] : mPlanners) {
+        planner->removeEngine(change.id);
+      }
+      mPublished.erase(change.id);
+      mDependencies.calls.cancel(controlKey(change.id));
+    }
+  }
+}
+
+void
+LeaderTask::upstreamsRead()
+{
+  if (!mLeading) {
+    return;
+  }
+  const auto now = mDependencies.loop.now();
+  for (const auto& [id, entry] : mDependencies.board.directory().entries()) {
+    if (auto* planner = plannerOf(entry.group)) {
+      planner->updateEngine(entry, now);
+    }
+  }
+  plan();
+}
+
+serving::PlacementPlanner*
+LeaderTask::plannerOf(const std::string& aGroup)
+{
+  const auto profile = mProfiles.find(aGroup);
+  if (profile == mProfiles.end()) {
+    return nullptr;
+  }
+  auto& planner = mPlanners[aGroup];
+  if (!planner) {
+    planner = std::make_unique<serving::PlacementPlanner>(
+      serving::PlacementPlanner::Options{}, mDependencies.loop.now());
+    planner->setProfile(profile->second);
+  }
+  return planner.get();
+}
+
+void
+LeaderTask::stop()
+{
+  mStopping = true;
+  stepLease();
+}
+
+void
+LeaderTask::tick()
+{
+  stepLease();
+  rowChanged();
+  const auto now = mDependencies.loop.now();
+  if (!mDemandSent || now - *mDemandSent >= kDemandPeriod) {
+    reportDemand();
+  }
+  if (mLeading) {
+    plan();
+    publishReplicas(!mAllSent || now - *mAllSent >= kAllViewsPeriod);
+  }
+}
+
+void
+LeaderTask::stepLease()
+{
+  const auto now = mDependencies.loop.now();
+  const auto step = mLeadership.next(now, mStopping);
+  switch (step) {
+    case LeadershipStep::None:
+      return;
+    case LeadershipStep::Read:
+      readRow();
+      return;
+    default:
+      writeRow(step);
+      return;
+  }
+}
+
+void
+LeaderTask::readRow()
+{
+  mLeadership.sent(LeadershipStep::Read, "", mDependencies.loop.now());
+  mDependencies.store.readRow(
+    kLeaderTable, kLeaderKey, [this](Result<std::optional<StoredRow>> aRow) {
+      const auto now = mDependencies.loop.now();
+      if (!aRow) {
+        mLeadership.failed(now);
+        return;
+      }
+      std::optional<serving::LeaderRow> row;
+      if (aRow.value()) {
+        auto decoded = decodeLeaderRow(aRow.value()->value);
+        // An unreadable row names no holder; it still counts for the waiting times.
+        row = decoded ? decoded.value() : serving::LeaderRow{};
+        row->version = aRow.value()->version;
+      }
+      mLeadership.observed(row, now);
+      rowChanged();
+      stepLease();
+    });
+}
+
+void
+LeaderTask::writeRow(LeadershipStep aStep)
+{
+  const std::string term =
+    std::to_string(std::uniform_int_distribution<std::uint64_t>(1, kTermLimit)(mRandom));
+  const auto row = mLeadership.rowFor(aStep, term);
+  const auto base = mLeadership.base();
+  mLeadership.sent(aStep, row.term, mDependencies.loop.now());
+  mDependencies.store.writeRow(
+    kLeaderTable,
+    { kLeaderKey, encodeLeaderRow(row), 0, false },
+    base,
+    [this, aStep, row](Result<std::uint64_t> aVersion) {
+      const auto now = mDependencies.loop.now();
+      if (aVersion) {
+        mLeadership.written(aStep, row, aVersion.value(), now);
+      } else if (aVersion.error().code == ErrorCode::Unavailable) {
+        mLeadership.failed(now);
+      } else {
+        mLeadership.uncertain(now);
+      }
+      rowChanged();
+    });
+}
+
+void
+LeaderTask::rowChanged()
+{
+  const auto now = mDependencies.loop.now();
+  const bool leads = mLeadership.leads(now);
+  const auto& row = mLeadership.row();
+  const std::string leader = row && !row->released ? row->host : "";
+  if (leads != mLeading || leader != mKnownLeader) {
+    mDependencies.log.write(
+      kLeaderChanged,
+      { { "leader", leader },
+        { "own", leads ? "yes" : "no" },
+        { "fencing", leads ? mLeadership.fencing() : std::uint64_t{ 0 } },
+        { "row_version", row ? row->version : std::uint64_t{ 0 } } });
+  }
+  mKnownLeader = leader;
+  if (leads == mLeading) {
+    followEndpoint();
+    return;
+  }
+  mLeading = leads;
+  mPublished.clear();
+  if (leads) {
+    mPlanners.clear();
+    upstreamsRead();
+    publishReplicas(true);
+  }
+  followEndpoint();
+}
+
+void
+LeaderTask::followEndpoint()
+{
+  const auto& row = mLeadership.row();
+  const std::string endpoint =
+    row && !row->released && !mLeading && row->host != mSettings.host ? row->endpoint : "";
+  if (endpoint == mConnectedTo) {
+    return;
+  }
+  if (!mConnectedTo.empty()) {
+    mPeers->disconnect(mConnectedTo);
+  }
+  mConnectedTo = endpoint;
+  if (!endpoint.empty()) {
+    mPeers->connect(endpoint);
+  }
+}
+
+void
+LeaderTask::peerJoined(const transport::RemotePeer& aPeer)
+{
+  mRemote[aPeer.id] = aPeer;
+  if (mLeading) {
+    publishReplicas(true);
+  } else if (aPeer.outgoing) {
+    reportDemand();
+  }
+}
+
+void
+LeaderTask::peerLost(const transport::RemotePeer& aPeer)
+{
+  mRemote.erase(aPeer.id);
+}
+
+void
+LeaderTask::deltaReceived(const transport::RemotePeer& aPeer, const peer::Delta& aDelta)
+{
+  for (const auto& entry : aDelta.entries()) {
+    if (entry.kind() == peer::ENTRY_KIND_DEMAND && mLeading) {
+      const auto items = decodeDemand(entry.payload());
+      if (!items) {
+        mDependencies.metrics.add("savoryrill_gateway_bad_peer_entries_total");
+        continue;
+      }
+      takeDemand(aPeer.host, items.value());
+    }
+  }
+  if (!mLeading && mKnownLeader == aPeer.host) {
+    takeReplicas(aDelta);
+  }
+}
+
+void
+LeaderTask::demandAppeared()
+{
+  if (mDemandPosted) {
+    return;
+  }
+  mDemandPosted = true;
+  mDependencies.loop.post([this] {
+    mDemandPosted = false;
+    reportDemand();
+  });
+}
+
+void
+LeaderTask::reportDemand()
+{
+  const auto items = mHandlers.demand();
+  mDemandSent = mDependencies.loop.now();
+  if (mLeading) {
+    takeDemand(mSettings.host, items);
+    return;
+  }
+  peer::Delta delta;
+  auto* entry = delta.add_entries();
+  entry->set_kind(peer::ENTRY_KIND_DEMAND);
+  entry->set_key(mSettings.host);
+  entry->set_origin(mSettings.host);
+  entry->set_sequence(++mSequence);
+  entry->set_payload(encodeDemand(items));
+  for (const auto& [id, remote] : mRemote) {
+    if (remote.outgoing) {
+      mPeers->send(id, delta);
+    }
+  }
+}
+
+void
+LeaderTask::takeDemand(const std::string& aHost,
+                       const std::vector<serving::DemandItem>& aItems)
+{
+  const auto now = mDependencies.loop.now();
+  bool waiting = false;
+  for (auto& [group, planner] : mPlanners) {
+    const auto& models = mProfiles[group].models;
+    std::vector<serving::DemandItem> own;
+    for (const auto& item : aItems) {
+      if (models.contains(item.model.model)) {
+        own.push_back(item);
+        waiting = waiting || item.waiting > 0;
+      }
+    }
+    planner->reportDemand(aHost, own, now);
+  }
+  if (waiting) {
+    planSoon();
+  }
+}
+
+void
+LeaderTask::takeReplicas(const peer::Delta& aDelta)
+{
+  const auto now = mDependencies.loop.now();
+  mLeadership.leaderHeard(now);
+  mDependencies.board.leaderHeard(now);
+  for (const auto& entry : aDelta.entries()) {
+    if (entry.kind() == peer::ENTRY_KIND_UPSTREAM) {
+      if (auto replicas = decodeReplicas(entry.payload())) {
+        mDependencies.board.setReplicas(entry.key(), std::move(replicas.value()), now);
+      }
+    } else if (entry.kind() == peer::ENTRY_KIND_LEADER) {
+      if (auto news = decodeLeaderNews(entry.payload())) {
+        mDependencies.board.setWaits(std::move(news.value().waits), now);
+        mHandlers.hostsChanged(news.value().hosts);
+      }
+    }
+  }
+  mHandlers.replicasChanged();
+}
+
+void
+LeaderTask::planSoon()
+{
+  if (mPlanPosted) {
+    return;
+  }
+  mPlanPosted = true;
+  mDependencies.loop.post([this] {
+    mPlanPosted = false;
+    plan();
+  });
+}
+
+void
+LeaderTask::plan()
+{
+  const auto now = mDependencies.loop.now();
+  if (!mLeading || !mLeadership.leads(now)) {
+    return;
+  }
+  if (mLeadership.mayOrder(now)) {
+    for (auto& [group, planner] : mPlanners) {
+      for (const auto& order : planner->plan(now)) {
+        sendOrder(*planner, order);
+      }
+      for (const auto& id : planner->reportsWanted(now)) {
+        readReport(id);
+      }
+    }
+  }
+  publishReplicas(false);
+}
+
+void
+LeaderTask::sendOrder(serving::PlacementPlanner& aPlanner,
+                      const serving::PlacementOrder& aOrder)
+{
+  const auto* entry = mDependencies.board.directory().find(aOrder.upstream);
+  const auto now = mDependencies.loop.now();
+  if (entry == nullptr || !mLeadership.mayOrder(now)) {
+    aPlanner.orderDone(aOrder.upstream, serving::OrderOutcome::Rejected, now);
+    return;
+  }
+  mDependencies.metrics.add("savoryrill_gateway_orders_total{kind=\"" +
+                            std::string(nameOf(aOrder.kind)) + "\"}");
+  mDependencies.log.write(kOrderSent,
+                          { { "upstream", aOrder.upstream },
+                            { "kind", nameOf(aOrder.kind) },
+                            { "model", serving::toString(aOrder.model) },
+                            { "expected_orders", aOrder.expectedOrders },
+                            { "fencing", mLeadership.fencing() } });
+  link::WholeCall call;
+  call.key = controlKey(aOrder.upstream);
+  call.endpoint = entry->endpoint;
+  call.request = mDependencies.protocol.writeOrder(
+    aOrder, entry->endpoint, mSettings.host, mLeadership.fencing());
+  call.timeout = kOrderTimeout;
+  const auto fencing = mLeadership.fencing();
+  mDependencies.calls.start(
+    std::move(call), [this, aOrder, fencing](Result<link::WholeResponse> aResponse) {
+      auto outcome = serving::OrderOutcome::Unknown;
+      if (aResponse) {
+        outcome = mDependencies.protocol.readOrderResponse(
+          aOrder, aResponse.value().head.status);
+      } else if (aResponse.error().code == ErrorCode::Unavailable) {
+        outcome = serving::OrderOutcome::Conflict; // not sent; tried again later
+      }
+      mDependencies.log.write(kOrderDone,
+                              { { "upstream", aOrder.upstream },
+                                { "kind", nameOf(aOrder.kind) },
+                                { "model", serving::toString(aOrder.model) },
+                                { "outcome", nameOf(outcome) },
+                                { "fencing", fencing } });
+      if (!mLeading || fencing != mLeadership.fencing()) {
+        return; // of a lease that has ended
+      }
+      for (auto& [group, planner] : mPlanners) {
+        planner->orderDone(aOrder.upstream, outcome, mDependencies.loop.now());
+      }
+      plan();
+    });
+}
+
+void
+LeaderTask::readReport(const std::string& aUpstream)
+{
+  const auto* entry = mDependencies.board.directory().find(aUpstream);
+  if (entry == nullptr) {
+    return;
+  }
+  mDependencies.metrics.add("savoryrill_gateway_reports_read_total");
+  link::WholeCall call;
+  call.key = controlKey(aUpstream);
+  call.endpoint = entry->endpoint;
+  call.request = mDependencies.protocol.writeReportRequest(aUpstream, entry->endpoint);
+  call.timeout = kReportTimeout;
+  const auto sent = mDependencies.loop.now();
+  mDependencies.calls.start(
+    std::move(call), [this, aUpstream, sent](Result<link::WholeResponse> aResponse) {
+      if (!mLeading) {
+        return;
+      }
+      const auto now = mDependencies.loop.now();
+      Result<serving::EngineReport> report =
+        fail(ErrorCode::Unavailable, "no report from " + aUpstream);
+      if (aResponse && aResponse.value().head.status == 200) {
+        report = mDependencies.protocol.readReport(aResponse.value().body);
+      }
+      for (auto& [group, planner] : mPlanners) {
+        if (report) {
+          planner->reportRead(aUpstream, report.value(), sent, now);
+        } else {
+          mDependencies.metrics.add("savoryrill_gateway_failed_reports_total");
+          planner->reportFailed(aUpstream, now);
+        }
+      }
+      plan();
+    });
+}
+
+std::map<std::string, Duration>
+LeaderTask::waits()
+{
+  std::map<std::string, Duration> times;
+  const auto now = mDependencies.loop.now();
+  for (auto& [group, planner] : mPlanners) {
+    for (const auto& model : planner->wantedModels()) {
+      if (const auto time = planner->timeUntilReady(model, now)) {
+        times[model] = *time;
+      }
+    }
+  }
+  return times;
+}
+
+peer::Delta
+LeaderTask::replicaDelta(const std::vector<std::string>& aUpstreams)
+{
+  peer::Delta delta;
+  for (const auto& id : aUpstreams) {
+    auto* entry = delta.add_entries();
+    entry->set_kind(peer::ENTRY_KIND_UPSTREAM);
+    entry->set_key(id);
+    entry->set_origin(mSettings.host);
+    entry->set_epoch(mLeadership.fencing());
+    entry->set_sequence(++mSequence);
+    entry->set_payload(encodeReplicas(id, mSettings.host, mPublished[id]));
+  }
+  LeaderNews news;
+  news.host = mSettings.host;
+  news.fencing = mLeadership.fencing();
+  news.hosts = mHosts;
+  news.waits = waits();
+  auto* entry = delta.add_entries();
+  entry->set_kind(peer::ENTRY_KIND_LEADER);
+  entry->set_key(mSettings.host);
+  entry->set_origin(mSettings.host);
+  entry->set_epoch(mLeadership.fencing());
+  entry->set_sequence(++mSequence);
+  entry->set_payload(encodeLeaderNews(news));
+  return delta;
+}
+
+void
+LeaderTask::publishReplicas(bool aAll)
+{
+  const auto now = mDependencies.loop.now();
+  std::vector<std::string> changed;
+  for (const auto& [group, planner] : mPlanners) {
+    for (const auto& id : planner->engineIds()) {
+      auto view = planner->view(id, now);
+      auto& published = mPublished[id];
+      const bool differs = !sameApartFromTimes(view, published);
+      published = std::move(view);
+      if (differs) {
+        mDependencies.board.setReplicas(id, published, now);
+      }
+      if (differs || aAll) {
+        changed.push_back(id);
+      }
+    }
+  }
+  mHosts = static_cast<std::uint32_t>(mRemote.size()) + 1;
+  const bool due = !mNewsSent || now - *mNewsSent >= kNewsPeriod;
+  if (changed.empty() && !due) {
+    return;
+  }
+  mNewsSent = now;
+  if (aAll) {
+    mAllSent = now;
+  }
+  mLeadership.leaderHeard(now);
+  mDependencies.board.leaderHeard(now);
+  mDependencies.board.setWaits(waits(), now);
+  mHandlers.hostsChanged(mHosts);
+  const auto delta = replicaDelta(changed);
+  for (const auto& [id, remote] : mRemote) {
+    mPeers->send(id, delta);
+  }
+  mHandlers.replicasChanged();
+}
+
+} // namespace savoryrill::gateway
--- /dev/null
+++ b/src/gateway/internal/leadertask.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/eventlog.h"
+#include "base/metrics.h"
+#include "event/loop.h"
+#include "gateway/iprotocol.h"
+#include "gateway/irowstore.h"
+#include "config/gatewaysettings.h"
+#include "gateway/upstreamboard.h"
+#include "link/callset.h"
+#include "serving/leadership.h"
+#include "serving/placementplanner.h"
+#include "transport/peernetwork.h"
+
+namespace savoryrill::gateway {
+
+/// Finds the leader of placement, or is it: keeps the lease, exchanges demand for replica
+/// views with the other hosts, and orders loads at the engines of all groups. Not thread
+/// safe.
+class LeaderTask : private transport::IPeerListener
+{
+public:
+  struct Dependencies
+  {
+    event::Loop& loop;
+    EventLog& log;
+    Metrics& metrics;
+    IRowStore& store;
+    const IControlProtocol& protocol;
+    UpstreamBoard& board;
+    link::CallSet& calls;
+  };
+  struct Handlers
+  {
+    /// Demand of this host since the last call.
+    std::function<std::vector<serving::DemandItem>()> demand;
+    /// Replica views have changed.
+    std::function<void()> replicasChanged;
+    /// Hosts that exchange demand.
+    std::function<void(std::uint32_t)> hostsChanged;
+  };
+
+  /// Fails with Unavailable if the peer address cannot be bound.
+  static Result<std::unique_ptr<LeaderTask>> create(Dependencies aDependencies,
+                                                    const config::GatewaySettings& aSettings,
+                                                    Handlers aHandlers,
+                                                    std::uint64_t aSeed);
+  ~LeaderTask() override;
+
+  /// Takes the groups of a configuration.
+  void setConfig(const serving::ServingConfig& aConfig);
+  /// Takes changes of the list of upstreams.
+  void upstreamsChanged(const std::vector<serving::DirectoryChange>& aChanges);
+  /// The list was read: entries have newer reports.
+  void upstreamsRead();
+  /// Demand has appeared that no report named yet.
+  void demandAppeared();
+  /// Gives the leadership up.
+  void stop();
+
+private:
+  LeaderTask(Dependencies aDependencies,
+             const config::GatewaySettings& aSettings,
+             Handlers aHandlers,
+             std::uint64_t aSeed);
+
+  void peerJoined(const transport::RemotePeer& aPeer) override;
+  void peerLost(const transport::RemotePeer& aPeer) override;
+  void digestReceived(const transport::RemotePeer&, const peer::Digest&) override {}
+  void deltaReceived(const transport::RemotePeer& aPeer,
+                     const peer::Delta& aDelta) override;
+
+  void tick();
+  void stepLease();
+  void readRow();
+  void writeRow(serving::LeadershipStep aStep);
+  void rowChanged();
+  void followEndpoint();
+
+  void reportDemand();
+  void takeDemand(const std::string& aHost,
+                  const std::vector<serving::DemandItem>& aItems);
+  void takeReplicas(const peer::Delta& aDelta);
+
+  void planSoon();
+  void plan();
+  void sendOrder(serving::PlacementPlanner& aPlanner,
+                 const serving::PlacementOrder& aOrder);
+  void readReport(const std::string& aUpstream);
+  void publishReplicas(bool aAll);
+  peer::Delta replicaDelta(const std::vector<std::string>& aUpstreams);
+  std::map<std::string, Duration> waits();
+  serving::PlacementPlanner* plannerOf(const std::string& aGroup);
+
+  Dependencies mDependencies;
+  config::GatewaySettings mSettings;
+  Handlers mHandlers;
+  std::mt19937_64 mRandom;
+  std::unique_ptr<transport::PeerNetwork> mPeers;
+  serving::Leadership mLeadership;
+  std::map<std::string, serving::EngineProfile> mProfiles; // by group
+  std::map<std::string, std::unique_ptr<serving::PlacementPlanner>> mPlanners;
+  std::map<std::string, std::vector<serving::ReplicaView>> mPublished;
+  std::map<std::uint64_t, transport::RemotePeer> mRemote;
+  std::string mConnectedTo;
+  std::string mKnownLeader;
+  bool mLeading = false;
+  bool mStopping = false;
+  bool mPlanPosted = false;
+  bool mDemandPosted = false;
+  std::uint64_t mSequence = 0;
+  std::uint32_t mHosts = 0;
+  std::optional<Instant> mDemandSent;
+  std::optional<Instant> mNewsSent;
+  std::optional<Instant> mAllSent;
+  event::Watch mTimer;
+};
+
+} // namespace savoryrill::gateway
--- /dev/null
+++ b/src/gateway/internal/peercodec.cpp
@@ -0,0 +1,172 @@
+#include "gateway/internal/peercodec.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "transport/proto/peer.pb.h"
+
+namespace savoryrill::gateway {
+
+using serving::ReplicaPhase;
+
+namespace {
+
+std::uint32_t
+milliseconds(Duration aDuration)
+{
+  constexpr std::int64_t kMost = std::numeric_limits<std::int32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(toMs(aDuration), 0, kMost));
+}
+
+peer::ReplicaState
+toMessage(ReplicaPhase aPhase)
+{
+  switch (aPhase) {
+    case ReplicaPhase::Loading:
+      return peer::REPLICA_STATE_LOADING;
+    case ReplicaPhase::Ready:
+      return peer::REPLICA_STATE_LOADED;
+    case ReplicaPhase::Unloading:
+      return peer::REPLICA_STATE_UNLOADING;
+  }
+  return peer::REPLICA_STATE_UNSPECIFIED;
+}
+
+} // namespace
+
+std::string
+encodeDemand(const std::vector<serving::DemandItem>& aItems)
+{
+  peer::DemandContent content;
+  for (const auto& item : aItems) {
+    auto* encoded = content.add_items();
+    encoded->set_deployment(item.model.model);
+    encoded->set_adapter(item.model.adapter);
+    encoded->set_waiting(item.waiting);
+    encoded->set_in_flight(item.inFlight);
+    encoded->set_arrivals(item.arrivals);
+    encoded->set_priority(item.priority);
+    if (item.deadline) {
+      encoded->set_earliest_deadline_ms(milliseconds(*item.deadline));
+    }
+  }
+  return content.SerializeAsString();
+}
+
+Result<std::vector<serving::DemandItem>>
+decodeDemand(const std::string& aPayload)
+{
+  peer::DemandContent content;
+  if (!content.ParseFromString(aPayload)) {
+    return fail(ErrorCode::Malformed, "demand cannot be parsed");
+  }
+  std::vector<serving::DemandItem> items;
+  for (const auto& encoded : content.items()) {
+    serving::DemandItem item;
+    item.model = { encoded.deployment(), encoded.adapter() };
+    item.waiting = encoded.waiting();
+    item.inFlight = encoded.in_flight();
+    item.arrivals = encoded.arrivals();
+    item.priority = encoded.priority();
+    if (item.waiting > 0) {
+      item.deadline = std::chrono::milliseconds(encoded.earliest_deadline_ms());
+    }
+    items.push_back(std::move(item));
+  }
+  return items;
+}
+
+std::string
+encodeReplicas(const std::string& aUpstream,
+               const std::string& aOwner,
+               const std::vector<serving::ReplicaView>& aReplicas)
+{
+  peer::UpstreamContent content;
+  content.set_upstream(aUpstream);
+  content.set_owner(aOwner);
+  content.set_reachable(true);
+  for (const auto& replica : aReplicas) {
+    auto* encoded = content.add_replicas();
+    encoded->set_deployment(replica.model);
+    encoded->set_state(toMessage(replica.phase));
+    encoded->set_ready_in_ms(milliseconds(replica.readyIn));
+    for (const auto& adapter : replica.adapters) {
+      encoded->add_adapters(adapter);
+    }
+  }
+  return content.SerializeAsString();
+}
+
+Result<std::vector<serving::ReplicaView>>
+decodeReplicas(const std::string& aPayload)
+{
+  peer::UpstreamContent content;
+  if (!content.ParseFromString(aPayload)) {
+    return fail(ErrorCode::Malformed, "replicas cannot be parsed");
+  }
+  std::vector<serving::ReplicaView> replicas;
+  for (const auto& encoded : content.replicas()) {
+    serving::ReplicaView replica;
+    replica.model = encoded.deployment();
+    switch (encoded.state()) {
+      case peer::REPLICA_STATE_LOADED:
+        replica.phase = ReplicaPhase::Ready;
+        break;
+      case peer::REPLICA_STATE_LOADING:
+        replica.phase = ReplicaPhase::Loading;
+        break;
+      default:
+        // An unknown state is one that takes no requests.
+        replica.phase = ReplicaPhase::Unloading;
+        break;
+    }
+    replica.readyIn = std::chrono::milliseconds(encoded.ready_in_ms());
+    replica.adapters.assign(encoded.adapters().begin(), encoded.adapters().end());
+    replicas.push_back(std::move(replica));
+  }
+  return replicas;
+}
+
+std::string
+encodeLeaderNews(const LeaderNews& aNews)
+{
+  peer::LeaderContent content;
+  content.set_host(aNews.host);
+  content.set_fencing_number(aNews.fencing);
+  content.set_hosts(aNews.hosts);
+  for (const auto& [model, wait] : aNews.waits) {
+    auto* encoded = content.add_waits();
+    encoded->set_deployment(model);
+    encoded->set_ready_in_ms(milliseconds(wait));
+  }
+  return content.SerializeAsString();
+}
+
+Result<LeaderNews>
+decodeLeaderNews(const std::string& aPayload)
+{
+  peer::LeaderContent content;
+  if (!content.ParseFromString(aPayload)) {
+    return fail(ErrorCode::Malformed, "leader news cannot be parsed");
+  }
+  LeaderNews news;
+  news.host = content.host();
+  news.fencing = content.fencing_number();
+  news.hosts = content.hosts();
+  for (const auto& encoded : content.waits()) {
+    news.waits[encoded.deployment()] = std::chrono::milliseconds(encoded.ready_in_ms());
+  }
+  return news;
+}
+
+bool
+sameApartFromTimes(const std::vector<serving::ReplicaView>& aLeft,
+                   const std::vector<serving::ReplicaView>& aRight)
+{
+  return std::ranges::equal(aLeft, aRight, [](const auto& aOne, const auto& aOther) {
+    return aOne.model == aOther.model && aOne.phase == aOther.phase &&
+           aOne.adapters == aOther.adapters;
+  });
+}
+
+} // namespace savoryrill::gateway
--- /dev/null
+++ b/src/gateway/internal/peercodec.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+#include "base/types/time.h"
+#include "serving/types/placement.h"
+
+namespace savoryrill::gateway {
+
+/// What the leader of placement tells all hosts.
+struct LeaderNews
+{
+  std::string host;
+  std::uint64_t fencing = 0;
+  std::uint32_t hosts = 0;               // that exchange demand, with its own
+  std::map<std::string, Duration> waits; // by model
+};
+
+// Contents of entries between gateways, in the messages of peer.proto. Decoding fails
+// with Malformed. All functions are thread safe.
+
+std::string
+encodeDemand(const std::vector<serving::DemandItem>& aItems);
+Result<std::vector<serving::DemandItem>>
+decodeDemand(const std::string& aPayload);
+
+std::string
+encodeReplicas(const std::string& aUpstream,
+               const std::string& aOwner,
+               const std::vector<serving::ReplicaView>& aReplicas);
+Result<std::vector<serving::ReplicaView>>
+decodeReplicas(const std::string& aPayload);
+
+std::string
+encodeLeaderNews(const LeaderNews& aNews);
+Result<LeaderNews>
+decodeLeaderNews(const std::string& aPayload);
+
+/// Compares views without the expected times, which change all the time.
+bool
+sameApartFromTimes(const std::vector<serving::ReplicaView>& aLeft,
+                   const std::vector<serving::ReplicaView>& aRight);
+
+} // namespace savoryrill::gateway
--- /dev/null
+++ b/src/gateway/internal/refusal.cpp
@@ -0,0 +1,99 @@
+#include "gateway/internal/refusal.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace savoryrill::gateway {
+
+using serving::RefusalReason;
+
+namespace {
+
+// Advice where the time until the request can run is not known.
+constexpr Duration kUsualRetryAfter = 500ms;
+constexpr Duration kLeastRetryAfter = 50ms;
+
+} // namespace
+
+Refusal
+refusalFor(RefusalReason aReason, bool aMayHaveRun, std::optional<Duration> aReadyIn)
+{
+  Refusal refusal;
+  refusal.reason = aReason;
+  refusal.mayHaveRun = aMayHaveRun;
+  switch (aReason) {
+    case RefusalReason::BadRequest:
+      refusal.status = 400;
+      return refusal;
+    case RefusalReason::NoRoute:
+      refusal.status = 404;
+      return refusal;
+    case RefusalReason::OutcomeUnknown:
+    case RefusalReason::UpstreamFailed:
+      refusal.status = aMayHaveRun ? 502 : 503;
+      break;
+    case RefusalReason::DeadlinePassed:
+      refusal.status = aMayHaveRun ? 504 : 503;
+      break;
+    default:
+      refusal.status = aMayHaveRun ? 502 : 503;
+      break;
+  }
+  if (!aMayHaveRun) {
+    refusal.retryAfter = std::max(kLeastRetryAfter, aReadyIn.value_or(kUsualRetryAfter));
+  }
+  return refusal;
+}
+
+link::ResponseHead
+headOf(const Refusal& aRefusal, const std::string& aCallId)
+{
+  link::ResponseHead head;
+  head.status = aRefusal.status;
+  head.reason = reasonPhrase(aRefusal.status);
+  head.headers.push_back({ "Content-Type", "application/problem+json" });
+  if (!aCallId.empty()) {
+    head.headers.push_back({ "X-Request-Id", aCallId });
+  }
+  if (aRefusal.retryAfter) {
+    std::array<char, 32> seconds{};
+    std::snprintf(
+      seconds.data(), seconds.size(), "%.2f", toSeconds(*aRefusal.retryAfter));
+    head.headers.push_back({ "Retry-After", seconds.data() });
+  }
+  return head;
+}
+
+std::string
+bodyOf(const Refusal& aRefusal)
+{
+  return R"({"type":"savoryrill:)" + std::string(nameOf(aRefusal.reason)) +
+         R"(","status":)" + std::to_string(aRefusal.status) + R"(,"ran":")" +
+         (aRefusal.mayHaveRun ? "unknown" : "no") + R"("})";
+}
+
+std::string
+reasonPhrase(int aStatus)
+{
+  constexpr std::array<std::pair<int, const char*>, 9> kPhrases{ {
+    { 200, "OK" },
+    { 400, "Bad Request" },
+    { 404, "Not Found" },
+    { 408, "Request Timeout" },
+    { 413, "Content Too Large" },
+    { 431, "Request Header Fields Too Large" },
+    { 502, "Bad Gateway" },
+    { 503, "Service Unavailable" },
+    { 504, "Gateway Timeout" },
+  } };
+  for (const auto& [status, phrase] : kPhrases) {
+    if (status == aStatus) {
+      return phrase;
+    }
+  }
+  return "Unknown";
+}
+
+} // namespace savoryrill::gateway
--- /dev/null
+++ b/src/gateway/internal/statusserver.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "event/loop.h"
+#include "link/inbound.h"
+
+namespace savoryrill::gateway {
+
+/// Answers GET requests of one path with a status and text, for the balancer and the
+/// metrics collector. Not thread safe.
+class StatusServer : private link::IInboundHandler
+{
+public:
+  struct Answer
+  {
+    int status = 200;
+    std::string text;
+  };
+
+  /// Fails with Unavailable if the address cannot be bound. An empty path stands for all.
+  static Result<std::unique_ptr<StatusServer>> create(event::Loop& aLoop,
+                                                      const link::Endpoint& aEndpoint,
+                                                      std::string aPath,
+                                                      std::function<Answer()> aAnswer);
+  ~StatusServer() override = default;
+
+private:
+  StatusServer(std::string aPath, std::function<Answer()> aAnswer);
+
+  void requestReceived(const std::shared_ptr<link::Inbound>& aConnection,
+                       link::RequestMessage aRequest) override;
+  void requestRejected(int, std::string_view) override {}
+  const link::InboundLimits& limits() const override { return mLimits; }
+  bool closesConnections() const override { return false; }
+
+  std::string mPath;
+  std::function<Answer()> mAnswer;
+  link::InboundLimits mLimits;
+  std::unique_ptr<link::Listener> mListener;
+};
+
+} // namespace savoryrill::gateway
--- /dev/null
+++ b/src/gateway/internal/upstreamboard.cpp
@@ -0,0 +1,223 @@
+#include "gateway/upstreamboard.h"
+
+#include <algorithm>
+
+namespace savoryrill::gateway {
+
+namespace {
+
+// Age up to which the leader's view of engines goes before the platform's list, which is
+// older by up to two heartbeats.
+constexpr Duration kLeaderLife = 2500ms;
+// Time for which an upstream that declined a request is not asked for the same again.
+constexpr Duration kDeclinedPause = 150ms;
+// Weight of the latest result in the moving share of failures.
+constexpr double kFailureWeight = 0.1;
+// Failed share above which an upstream is used only if no better one exists. A healthy
+// service fails 14 in 100 requests at the clock house.
+constexpr double kSuspectShare = 0.35;
+// Remembered prompt prefixes; the oldest half is dropped above it.
+constexpr std::size_t kMostPrefixes = 4096;
+// Requests of this host at one upstream, in batches of it.
+constexpr std::uint32_t kMostBatches = 1;
+
+} // namespace
+
+UpstreamBoard::UpstreamBoard(std::string aDataCentre, std::uint64_t aSeed)
+  : mDataCentre(std::move(aDataCentre))
+  , mRandom(aSeed)
+  , mPolicy(routing::PowerOfTwoChoices{})
+{
+}
+
+void
+UpstreamBoard::setReplicas(const std::string& aUpstream,
+                           std::vector<serving::ReplicaView> aReplicas,
+                           Instant aNow)
+{
+  mReplicas[aUpstream] = { std::move(aReplicas), aNow };
+  if (const auto found = mExperience.find(aUpstream); found != mExperience.end()) {
+    found->second.declinedUntil.clear();
+  }
+}
+
+void
+UpstreamBoard::setWaits(std::map<std::string, Duration> aWaits, Instant aNow)
+{
+  mReadyAt.clear();
+  for (const auto& [model, wait] : aWaits) {
+    mReadyAt[model] = aNow + wait;
+  }
+}
+
+bool
+UpstreamBoard::holds(const serving::UpstreamEntry& aEntry,
+                     const serving::ModelKey& aModel,
+                     Instant aNow) const
+{
+  if (aModel.model.empty()) {
+    return true;
+  }
+  const auto replicas = mReplicas.find(aEntry.id);
+  if (replicas != mReplicas.end() && mLeaderHeard && aNow - *mLeaderHeard < kLeaderLife) {
+    return std::ranges::any_of(replicas->second.list, [&](const auto& aReplica) {
+      return aReplica.model == aModel.model &&
+             aReplica.phase == serving::ReplicaPhase::Ready &&
+             (aModel.adapter.empty() ||
+              std::ranges::find(aReplica.adapters, aModel.adapter) !=
+                aReplica.adapters.end());
+    });
+  }
+  return std::ranges::any_of(aEntry.engine.models, [&](const auto& aResident) {
+    return aResident.model == aModel.model &&
+           (aModel.adapter.empty() || aResident.adapters.contains(aModel.adapter));
+  });
+}
+
+bool
+UpstreamBoard::usable(const serving::UpstreamEntry& aEntry,
+                      const Query& aQuery,
+                      Instant aNow) const
+{
+  if (aEntry.group != aQuery.group->name || aEntry.leaving ||
+      aQuery.excluded.contains(aEntry.id) || !holds(aEntry, aQuery.model, aNow)) {
+    return false;
+  }
+  const auto found = mExperience.find(aEntry.id);
+  if (found == mExperience.end()) {
+    return true;
+  }
+  const auto& experience = found->second;
+  const auto declined = experience.declinedUntil.find(aQuery.model);
+  return experience.circuit.allows(aNow) &&
+         experience.inFlight < std::max(1U, aEntry.concurrency) * kMostBatches &&
+         (declined == experience.declinedUntil.end() || aNow >= declined->second);
+}
+
+std::optional<std::string>
+UpstreamBoard::choose(const Query& aQuery, Instant aNow)
+{
+  std::vector<routing::Candidate> candidates;
+  std::vector<routing::Candidate> suspects;
+  const auto prefix = mPrefixUpstream.find(aQuery.sharedPrefix);
+  for (const auto& [id, entry] : mDirectory.entries()) {
+    if (!usable(entry, aQuery, aNow)) {
+      continue;
+    }
+    const auto experience = mExperience.find(id);
+    routing::Candidate candidate;
+    candidate.upstream = id;
+    candidate.reportedLoad = entry.engine.running + entry.engine.waiting;
+    candidate.sameDataCentre = entry.dataCentre == mDataCentre;
+    if (experience != mExperience.end()) {
+      candidate.ownInFlight = experience->second.inFlight;
+    }
+    if (!aQuery.sharedPrefix.empty() && prefix != mPrefixUpstream.end() &&
+        prefix->second == id) {
+      candidate.cachedPrefixBlocks = 1;
+    }
+    const bool suspect = experience != mExperience.end() &&
+                         experience->second.failureShare > kSuspectShare;
+    (suspect ? suspects : candidates).push_back(std::move(candidate));
+  }
+  if (candidates.empty()) {
+    candidates = std::move(suspects);
+  }
+  const auto index = routing::choose(mPolicy, candidates, mRandom);
+  if (!index) {
+    return std::nullopt;
+  }
+  const auto& chosen = candidates[*index].upstream;
+  if (!aQuery.sharedPrefix.empty()) {
+    if (mPrefixUpstream.size() >= kMostPrefixes) {
+      mPrefixUpstream.clear();
+    }
+    mPrefixUpstream[aQuery.sharedPrefix] = chosen;
+  }
+  return chosen;
+}
+
+std::optional<Duration>
+UpstreamBoard::readyIn(const Query& aQuery, Instant aNow) const
+{
+  const bool held =
+    std::ranges::any_of(mDirectory.entries(), [&](const auto& aItem) {
+      return aItem.second.group == aQuery.group->name && !aItem.second.leaving &&
+             holds(aItem.second, aQuery.model, aNow);
+    });
+  if (held) {
+    return Duration::zero();
+  }
+  const auto found = mReadyAt.find(aQuery.model.model);
+  if (found == mReadyAt.end()) {
+    return std::nullopt;
+  }
+  return std::max(Duration::zero(), found->second - aNow);
+}
+
+bool
+UpstreamBoard::anyUpstream(const std::string& aGroup) const
+{
+  return std::ranges::any_of(mDirectory.entries(), [&](const auto& aItem) {
+    return aItem.second.group == aGroup && !aItem.second.leaving;
+  });
+}
+
+void
+UpstreamBoard::sent(const std::string& aUpstream, Instant aNow)
+{
+  auto& experience = mExperience[aUpstream];
+  ++experience.inFlight;
+  if (experience.circuit.allows(aNow)) {
+    experience.circuit.dispatched(aNow);
+  }
+}
+
+void
+UpstreamBoard::ended(const std::string& aUpstream)
+{
+  auto& experience = mExperience[aUpstream];
+  experience.inFlight -= experience.inFlight > 0 ? 1 : 0;
+  experience.circuit.abandoned();
+}
+
+void
+UpstreamBoard::succeeded(const std::string& aUpstream)
+{
+  auto& experience = mExperience[aUpstream];
+  experience.circuit.succeeded();
+  experience.failureShare *= 1 - kFailureWeight;
+}
+
+void
+UpstreamBoard::failed(const std::string& aUpstream, Instant aNow)
+{
+  auto& experience = mExperience[aUpstream];
+  experience.circuit.failed(aNow);
+  experience.failureShare =
+    experience.failureShare * (1 - kFailureWeight) + kFailureWeight;
+}
+
+void
+UpstreamBoard::declined(const std::string& aUpstream,
+                        const serving::ModelKey& aModel,
+                        Instant aNow)
+{
+  mExperience[aUpstream].declinedUntil[aModel] = aNow + kDeclinedPause;
+}
+
+std::uint32_t
+UpstreamBoard::inFlight(const std::string& aUpstream) const
+{
+  const auto found = mExperience.find(aUpstream);
+  return found == mExperience.end() ? 0 : found->second.inFlight;
+}
+
+void
+UpstreamBoard::forget(const std::string& aUpstream)
+{
+  mReplicas.erase(aUpstream);
+  mExperience.erase(aUpstream);
+}
+
+} // namespace savoryrill::gateway
--- /dev/null
+++ b/src/gateway/upstreamboard.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/types/time.h"
+#include "routing/circuitbreaker.h"
+#include "routing/upstreamchoice.h"
+#include "serving/types/placement.h"
+#include "serving/types/servingconfig.h"
+#include "serving/upstreamdirectory.h"
+
+namespace savoryrill::gateway {
+
+/// What this host knows about the upstreams when it sends a request: the platform's list,
+/// what the leader of placement said more recently, and its own experience. Not thread
+/// safe; no I/O.
+class UpstreamBoard
+{
+public:
+  /// `aDataCentre` is this host's. `aSeed` starts the random choice.
+  UpstreamBoard(std::string aDataCentre, std::uint64_t aSeed);
+
+  serving::UpstreamDirectory& directory() { return mDirectory; }
+  const serving::UpstreamDirectory& directory() const { return mDirectory; }
+
+  /// The leader's view of an engine; used while it is fresh.
+  void setReplicas(const std::string& aUpstream,
+                   std::vector<serving::ReplicaView> aReplicas,
+                   Instant aNow);
+  void leaderHeard(Instant aNow) { mLeaderHeard = aNow; }
+  /// Expected times until models are ready, from the leader.
+  void setWaits(std::map<std::string, Duration> aWaits, Instant aNow);
+
+  struct Query
+  {
+    const serving::UpstreamGroup* group = nullptr;
+    serving::ModelKey model;         // empty for plain services
+    std::string sharedPrefix;        // names prompt parts that other requests share
+    std::set<std::string> excluded;  // upstreams that have failed this request
+  };
+
+  /// Chooses an upstream that can run the request now; nothing if there is none.
+  std::optional<std::string> choose(const Query& aQuery, Instant aNow);
+
+  /// Expected time until some upstream can run it: zero if one can, except for its load;
+  /// nothing if it is not known.
+  std::optional<Duration> readyIn(const Query& aQuery, Instant aNow) const;
+
+  /// True if any upstream of the group is listed and not leaving.
+  bool anyUpstream(const std::string& aGroup) const;
+
+  // Experience with an upstream.
+  void sent(const std::string& aUpstream, Instant aNow);
+  void ended(const std::string& aUpstream);
+  void succeeded(const std::string& aUpstream);
+  void failed(const std::string& aUpstream, Instant aNow);
+  /// It answered that it does not run this model, or is full: not chosen for a while.
+  void declined(const std::string& aUpstream, const serving::ModelKey& aModel, Instant aNow);
+
+  std::uint32_t inFlight(const std::string& aUpstream) const;
+  /// Forgets upstreams that have vanished.
+  void forget(const std::string& aUpstream);
+
+private:
+  struct Experience
+  {
+    std::uint32_t inFlight = 0;
+    routing::CircuitBreaker circuit;
+    double failureShare = 0; // moving share of failed requests
+    std::map<serving::ModelKey, Instant> declinedUntil;
+  };
+  struct Replicas
+  {
+    std::vector<serving::ReplicaView> list;
+    Instant at{};
+  };
+
+  bool holds(const serving::UpstreamEntry& aEntry,
+             const serving::ModelKey& aModel,
+             Instant aNow) const;
+  bool usable(const serving::UpstreamEntry& aEntry, const Query& aQuery, Instant aNow) const;
+
+  std::string mDataCentre;
+  std::mt19937_64 mRandom;
+  serving::UpstreamDirectory mDirectory;
+  std::map<std::string, Replicas> mReplicas;
+  std::map<std::string, Experience> mExperience;
+  std::map<std::string, Instant> mReadyAt; // by model, from the leader
+  std::map<std::string, std::string> mPrefixUpstream;
+  std::optional<Instant> mLeaderHeard;
+  routing::ChoicePolicy mPolicy;
+};
+
+} // namespace savoryrill::gateway
--- /dev/null
+++ b/src/link/inbound.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+#include "base/result.h"
+#include "event/loop.h"
+#include "link/internal/messageparser.h"
+#include "link/socket.h"
+#include "link/types/message.h"
+
+namespace savoryrill::link {
+
+/// Bounds for what a caller may send and how long it may take.
+struct InboundLimits
+{
+  std::size_t maxHeadBytes = 16UL * 1024;
+  std::size_t maxBodyBytes = 4UL * 1024 * 1024;
+  Duration receiveTimeout = 5s; // from the first byte of a head to its end
+  Duration idleTimeout = 15s;   // between requests of a connection
+};
+
+class Inbound;
+
+/// Receives the requests of all connections of a listener.
+class IInboundHandler
+{
+public:
+  virtual ~IInboundHandler() = default;
+  /// A whole request has arrived. The handler answers now or later.
+  virtual void requestReceived(const std::shared_ptr<Inbound>& aConnection,
+                               RequestMessage aRequest) = 0;
+  /// The request was refused with `aStatus` before it was complete.
+  virtual void requestRejected(int aStatus, std::string_view aReason) = 0;
+  virtual const InboundLimits& limits() const = 0;
+  /// True while responses must end their connection.
+  virtual bool closesConnections() const = 0;
+};
+
+/// A connection from a caller. Carries one request at a time; pipelined ones wait. While
+/// a request is in progress the connection is watched for the caller's leaving. Not
+/// thread safe.
+class Inbound
+  : public std::enable_shared_from_this<Inbound>
+  , private IMessageListener
+{
+public:
+  Inbound(event::Loop& aLoop, Socket aSocket, IInboundHandler& aHandler);
+  ~Inbound() override;
+
+  /// Begins to read. Precondition: owned by a shared pointer.
+  void start();
+
+  /// Starts a response. Precondition: a request is in progress and has no response yet.
+  /// Connection headers of `aHead` are left out; framing follows `aHead.framing`, where
+  /// UntilClose becomes chunks if the caller understands them.
+  void sendHead(const ResponseHead& aHead);
+  /// Sends a part of the body. Precondition: `sendHead` was called.
+  void sendData(std::string_view aData);
+  /// Ends the response as complete.
+  void finish();
+  /// Closes the connection so that the response is visibly incomplete.
+  void abort();
+  /// Sends a whole response.
+  void respond(const ResponseHead& aHead, std::string_view aBody);
+
+  bool responding() const { return mHeadSent; }
+  bool busy() const { return mBusy; }
+  bool closed() const { return mClosed; }
+  /// Bytes that the caller has not taken yet.
+  std::size_t unsentBytes() const { return mOutput.size() - mOutputSent; }
+
+  /// Runs once if the caller leaves before the response is complete.
+  void onLeft(std::function<void()> aCallback) { mLeft = std::move(aCallback); }
+  /// Runs whenever all output has been taken.
+  void onDrained(std::function<void()> aCallback) { mDrained = std::move(aCallback); }
+  void onClosed(std::function<void(Inbound*)> aCallback)
+  {
+    mClosedCallback = std::move(aCallback);
+  }
+
+  /// Closes the connection unless a request is in progress or partly received.
+  void closeIfIdle();
+
+private:
+  bool headParsed() override;
+  void bodyParsed(std::string_view aData) override;
+  void messageParsed() override;
+
+  void ready(event::Interest aInterest);
+  void readInput();
+  void parseInput();
+  void reject(int aStatus, std::string_view aReason);
+  void flush();
+  void watchSocket();
+  void armTimer();
+  void linger();
+  void requestDone();
+  void close(bool aReset);
+
+  event::Loop& mLoop;
+  Socket mSocket;
+  IInboundHandler& mHandler;
+  MessageParser mParser;
+  event::Watch mWatch;
+  event::Watch mTimer;
+  std::string mInput;
+  std::string mOutput;
+  std::size_t mOutputSent = 0;
+  std::string mBody;
+  std::function<void()> mLeft;
+  std::function<void()> mDrained;
+  std::function<void(Inbound*)> mClosedCallback;
+  bool mBodyTooLarge = false;
+  bool mMessageDone = false;
+  bool mBusy = false;
+  bool mHeadSent = false;
+  bool mChunked = false;
+  bool mHeadRequest = false;
+  bool mOldVersion = false;
+  bool mKeepAlive = true;
+  bool mCloseAfterOutput = false;
+  bool mInputEnded = false;
+  bool mRejected = false;
+  bool mLingering = false;
+  bool mClosed = false;
+  bool mWatchesWritable = false;
+  bool mWatchesReadable = false;
+};
+
+/// Accepts callers and owns their connections. Not thread safe.
+class Listener
+{
+public:
+  /// Fails with Unavailable if the address cannot be bound. Preconditions: all references
+  /// outlive the result.
+  static Result<std::unique_ptr<Listener>> create(event::Loop& aLoop,
+                                                  const Endpoint& aEndpoint,
+                                                  IInboundHandler& aHandler,
+                                                  std::size_t aMaxConnections);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  /// Stops accepting; open connections go on.
+  void stop();
+  /// Closes connections on which no request is in progress.
+  void closeIdle();
+  std::size_t connections() const { return mConnections.size(); }
+
+private:
+  Listener(event::Loop& aLoop,
+           Socket aSocket,
+           IInboundHandler& aHandler,
+           std::size_t aMaxConnections);
+  void acceptAll();
+
+  event::Loop& mLoop;
+  Socket mSocket;
+  IInboundHandler& mHandler;
+  std::size_t mMaxConnections;
+  event::Watch mWatch;
+  std::unordered_set<std::shared_ptr<Inbound>> mConnections;
+};
+
+} // namespace savoryrill::link
--- /dev/null
+++ b/src/link/internal/inbound.cpp
@@ -0,0 +1,513 @@
+#include "link/inbound.h"
+
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <sys/socket.h>
+
+namespace savoryrill::link {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16UL * 1024;
+// Input that is kept behind a request in progress; above it reading pauses.
+constexpr std::size_t kMaxPipelinedBytes = 16UL * 1024;
+// Unacknowledged output to a caller ends its connection after this time, which is above
+// the longest pause that a stream may have.
+constexpr Duration kCallerSilence = 6s;
+
+// A rejected caller may go on sending for this long; an earlier close would reset the
+// connection and destroy the response on its way.
+constexpr Duration kLingerTime = 1s;
+
+std::string
+chunkHeader(std::size_t aSize)
+{
+  std::array<char, 20> text{};
+  const int length = std::snprintf(text.data(), text.size(), "%zx\r\n", aSize);
+  return { text.data(), static_cast<std::size_t>(length) };
+}
+
+} // namespace
+
+Inbound::Inbound(event::Loop& aLoop, Socket aSocket, IInboundHandler& aHandler)
+  : mLoop(aLoop)
+  , mSocket(std::move(aSocket))
+  , mHandler(aHandler)
+  , mParser(MessageParser::Kind::Request, *this)
+{
+  mParser.limitHead(aHandler.limits().maxHeadBytes);
+}
+
+Inbound::~Inbound() = default;
+
+void
+Inbound::start()
+{
+  prepareAccepted(mSocket, kCallerSilence);
+  watchSocket();
+  armTimer();
+}
+
+bool
+Inbound::headParsed()
+{
+  const auto& headers = mParser.headers();
+  if (mParser.hasLength() && mParser.length() > mHandler.limits().maxBodyBytes) {
+    mBodyTooLarge = true;
+  }
+  const auto* expect = findHeader(headers, "expect");
+  if (expect != nullptr && sameHeaderName(*expect, "100-continue") && !mBodyTooLarge) {
+    mOutput += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  return true;
+}
+
+void
+Inbound::bodyParsed(std::string_view aData)
+{
+  if (mBodyTooLarge || mBody.size() + aData.size() > mHandler.limits().maxBodyBytes) {
+    mBodyTooLarge = true;
+    mBody.clear();
+    return;
+  }
+  mBody.append(aData);
+}
+
+void
+Inbound::messageParsed()
+{
+  mMessageDone = true;
+}
+
+void
+Inbound::ready(event::Interest aInterest)
+{
+  const auto self = shared_from_this();
+  if (aInterest.writable) {
+    flush();
+  }
+  if (aInterest.readable && !mClosed) {
+    readInput();
+  }
+}
+
+void
+Inbound::readInput()
+{
+  std::array<char, kReadBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  while (!mClosed) {
+    const ssize_t size = recv(mSocket.fd(), buffer.data(), buffer.size(), 0);
+    if (size > 0) {
+      mInput.append(buffer.data(), static_cast<std::size_t>(size));
+      if (static_cast<std::size_t>(size) < buffer.size() || mBusy) {
+        break;
+      }
+      parseInput();
+      continue;
+    }
+    if (size < 0 && errno == EINTR) {
+      continue;
+    }
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      break;
+    }
+    // The end of the input means that the caller has left, also while it waits.
+    mInputEnded = true;
+    close(false);
+    return;
+  }
+  parseInput();
+  if (!mClosed) {
+    watchSocket();
+  }
+}
+
+void
+Inbound::parseInput()
+{
+  while (!mBusy && !mClosed && !mCloseAfterOutput && !mInput.empty()) {
+    const bool was_inside = mParser.insideMessage();
+    const std::size_t taken = mParser.parse(mInput);
+    if (mParser.headTooLarge()) {
+      reject(431, "header lines are too large");
+      return;
+    }
+    if (mParser.failed()) {
+      reject(400, "malformed request");
+      return;
+    }
+    mInput.erase(0, taken);
+    if (mBodyTooLarge) {
+      reject(413, "body is too large");
+      return;
+    }
+    flush();
+    if (!mMessageDone) {
+      if (!was_inside) {
+        armTimer();
+      }
+      return;
+    }
+    mMessageDone = false;
+    RequestMessage request;
+    request.method = mParser.method();
+    request.target = mParser.target();
+    request.headers = mParser.headers();
+    request.body = std::move(mBody);
+    request.oldVersion = mParser.oldVersion();
+    mBody.clear();
+    mBusy = true;
+    mHeadSent = false;
+    mHeadRequest = request.method == "HEAD";
+    mOldVersion = request.oldVersion;
+    mKeepAlive = mParser.keepAlive();
+    mTimer.reset();
+    mHandler.requestReceived(shared_from_this(), std::move(request));
+  }
+}
+
+void
+Inbound::reject(int aStatus, std::string_view aReason)
+{
+  mHandler.requestRejected(aStatus, aReason);
+  mRejected = true;
+  mBusy = true;
+  mHeadSent = false;
+  mHeadRequest = false;
+  mKeepAlive = false;
+  ResponseHead head;
+  head.status = aStatus;
+  head.reason = aReason;
+  head.headers.push_back({ "Content-Type", "text/plain" });
+  respond(head, aReason);
+}
+
+void
+Inbound::sendHead(const ResponseHead& aHead)
+{
+  if (mClosed) {
+    return;
+  }
+  mHeadSent = true;
+  if (mHandler.closesConnections()) {
+    mKeepAlive = false;
+  }
+  mOutput.append("HTTP/1.1 ").append(std::to_string(aHead.status)).append(" ");
+  mOutput.append(aHead.reason).append("\r\n");
+  for (const auto& header : aHead.headers) {
+    if (!isConnectionHeader(aHead.headers, header.name) &&
+        !sameHeaderName(header.name, "content-length")) {
+      mOutput.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+  }
+  mChunked = false;
+  if (aHead.framing == Framing::Length) {
+    mOutput.append("Content-Length: ").append(std::to_string(aHead.length));
+    mOutput.append("\r\n");
+  } else if (aHead.framing != Framing::None) {
+    if (mOldVersion) {
+      mKeepAlive = false;
+    } else {
+      mChunked = true;
+      mOutput.append("Transfer-Encoding: chunked\r\n");
+    }
+  }
+  if (!mKeepAlive) {
+    mOutput.append("Connection: close\r\n");
+  } else if (mOldVersion) {
+    mOutput.append("Connection: keep-alive\r\n");
+  }
+  mOutput.append("\r\n");
+}
+
+void
+Inbound::sendData(std::string_view aData)
+{
+  if (mClosed || aData.empty() || mHeadRequest) {
+    return;
+  }
+  if (mChunked) {
+    mOutput.append(chunkHeader(aData.size())).append(aData).append("\r\n");
+  } else {
+    mOutput.append(aData);
+  }
+  flush();
+}
+
+void
+Inbound::finish()
+{
+  if (mClosed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (mChunked && !mHeadRequest) {
+    mOutput.append("0\r\n\r\n");
+  }
+  mCloseAfterOutput = !mKeepAlive;
+  requestDone();
+  flush();
+  if (mClosed || mCloseAfterOutput) {
+    return;
+  }
+  armTimer();
+  if (!mInput.empty()) {
+    // The next request is here already; it is parsed outside the caller's stack.
+    mLoop.post([weak = weak_from_this()] {
+      if (const auto connection = weak.lock()) {
+        connection->parseInput();
+        if (!connection->mClosed) {
+          connection->watchSocket();
+        }
+      }
+    });
+  }
+}
+
+void
+Inbound::requestDone()
+{
+  mBusy = false;
+  mHeadSent = false;
+  mLeft = nullptr;
+  mDrained = nullptr;
+}
+
+void
+Inbound::abort()
+{
+  requestDone();
+  close(true);
+}
+
+void
+Inbound::respond(const ResponseHead& aHead, std::string_view aBody)
+{
+  ResponseHead head = aHead;
+  head.framing = Framing::Length;
+  head.length = aBody.size();
+  sendHead(head);
+  sendData(aBody);
+  finish();
+}
+
+void
+Inbound::flush()
+{
+  const bool had_output = mOutputSent < mOutput.size();
+  while (!mClosed && mOutputSent < mOutput.size()) {
+    const ssize_t size = send(mSocket.fd(),
+                              mOutput.data() + mOutputSent,
+                              mOutput.size() - mOutputSent,
+                              MSG_NOSIGNAL);
+    if (size > 0) {
+      mOutputSent += static_cast<std::size_t>(size);
+    } else if (size < 0 && errno == EINTR) {
+      continue;
+    } else if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      break;
+    } else {
+      close(true);
+      return;
+    }
+  }
+  if (mClosed) {
+    return;
+  }
+  if (mOutputSent == mOutput.size()) {
+    mOutput.clear();
+    mOutputSent = 0;
+    if (mCloseAfterOutput) {
+      if (mRejected) {
+        linger();
+      } else {
+        close(false);
+      }
+      return;
+    }
+    if (had_output && mDrained) {
+      const auto drained = mDrained;
+      drained();
+    }
+  } else if (mOutputSent > kReadBytes) {
+    mOutput.erase(0, mOutputSent);
+    mOutputSent = 0;
+  }
+  if (!mClosed) {
+    watchSocket();
+  }
+}
+
+void
+Inbound::linger()
+{
+  if (mLingering) {
+    return;
+  }
+  mLingering = true;
+  (void)shutdown(mSocket.fd(), SHUT_WR);
+  mTimer = mLoop.after(kLingerTime, [this] {
+    const auto self = shared_from_this();
+    close(true);
+  });
+  mWatch = mLoop.watch(mSocket.fd(), { true, false }, [this](event::Interest) {
+    const auto self = shared_from_this();
+    std::array<char, kReadBytes> discarded; // NOLINT
+    const ssize_t size = recv(mSocket.fd(), discarded.data(), discarded.size(), 0);
+    if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR)) {
+      close(false);
+    }
+  });
+}
+
+void
+Inbound::watchSocket()
+{
+  const bool writable = mOutputSent < mOutput.size();
+  const bool readable =
+    !mInputEnded && !mCloseAfterOutput && mInput.size() < kMaxPipelinedBytes;
+  if (mWatch && writable == mWatchesWritable && readable == mWatchesReadable) {
+    return;
+  }
+  mWatchesWritable = writable;
+  mWatchesReadable = readable;
+  mWatch.reset();
+  if (writable || readable) {
+    mWatch = mLoop.watch(
+      mSocket.fd(), { readable, writable }, [this](event::Interest aInterest) {
+        ready(aInterest);
+      });
+  }
+}
+
+void
+Inbound::armTimer()
+{
+  const auto& limits = mHandler.limits();
+  if (mParser.insideMessage()) {
+    mTimer = mLoop.after(limits.receiveTimeout, [this] {
+      const auto self = shared_from_this();
+      reject(408, "request did not arrive in time");
+    });
+  } else {
+    mTimer = mLoop.after(limits.idleTimeout, [this] {
+      const auto self = shared_from_this();
+      if (!mBusy) {
+        close(false);
+      }
+    });
+  }
+}
+
+void
+Inbound::closeIfIdle()
+{
+  if (!mBusy && !mParser.insideMessage() && mInput.empty() && unsentBytes() == 0) {
+    close(false);
+  }
+}
+
+void
+Inbound::close(bool aReset)
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  mWatch.reset();
+  mTimer.reset();
+  if (aReset) {
+    mSocket.reset();
+  } else {
+    mSocket.close();
+  }
+  const auto left = std::move(mLeft);
+  mLeft = nullptr;
+  mDrained = nullptr;
+  if (mBusy && left) {
+    left();
+  }
+  mBusy = false;
+  if (mClosedCallback) {
+    const auto closed_callback = std::move(mClosedCallback);
+    mClosedCallback = nullptr;
+    closed_callback(this);
+  }
+}
+
+Result<std::unique_ptr<Listener>>
+Listener::create(event::Loop& aLoop,
+                 const Endpoint& aEndpoint,
+                 IInboundHandler& aHandler,
+                 std::size_t aMaxConnections)
+{
+  BOOST_OUTCOME_TRY(socket, listenOn(aEndpoint));
+  return std::unique_ptr<Listener>(
+    new Listener(aLoop, std::move(socket), aHandler, aMaxConnections));
+}
+
+Listener::Listener(event::Loop& aLoop,
+                   Socket aSocket,
+                   IInboundHandler& aHandler,
+                   std::size_t aMaxConnections)
+  : mLoop(aLoop)
+  , mSocket(std::move(aSocket))
+  , mHandler(aHandler)
+  , mMaxConnections(aMaxConnections)
+{
+  mWatch = mLoop.watch(mSocket.fd(), { true, false }, [this](event::Interest) {
+    acceptAll();
+  });
+}
+
+Listener::~Listener()
+{
+  for (const auto& connection : mConnections) {
+    connection->onClosed(nullptr);
+  }
+}
+
+void
+Listener::stop()
+{
+  mWatch.reset();
+  mSocket.close();
+}
+
+void
+Listener::closeIdle()
+{
+  const auto connections = mConnections;
+  for (const auto& connection : connections) {
+    connection->closeIfIdle();
+  }
+}
+
+void
+Listener::acceptAll()
+{
+  while (true) {
+    Socket accepted(
+      accept4(mSocket.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!accepted) {
+      return;
+    }
+    if (mConnections.size() >= mMaxConnections) {
+      continue; // closes it unread, which callers may repeat safely
+    }
+    auto connection = std::make_shared<Inbound>(mLoop, std::move(accepted), mHandler);
+    connection->onClosed([this, weak = std::weak_ptr(connection)](Inbound*) {
+      // Erased later, as the connection may be on the stack.
+      mLoop.post([this, weak] {
+        if (const auto closed = weak.lock()) {
+          mConnections.erase(closed);
+        }
+      });
+    });
+    mConnections.insert(connection);
+    connection->start();
+  }
+}
+
+} // namespace savoryrill::link
--- /dev/null
+++ b/src/link/internal/messageparser.cpp
@@ -0,0 +1,159 @@
+#include "link/internal/messageparser.h"
+
+namespace savoryrill::link {
+
+struct MessageParser::Callbacks
+{
+  static MessageParser& self(http_parser* aParser)
+  {
+    return *static_cast<MessageParser*>(aParser->data);
+  }
+  static int begin(http_parser* aParser)
+  {
+    self(aParser).reset();
+    self(aParser).mInside = true;
+    return 0;
+  }
+  static int url(http_parser* aParser, const char* aData, std::size_t aSize)
+  {
+    self(aParser).mTarget.append(aData, aSize);
+    return 0;
+  }
+  static int status(http_parser* aParser, const char* aData, std::size_t aSize)
+  {
+    self(aParser).mReason.append(aData, aSize);
+    return 0;
+  }
+  static int field(http_parser* aParser, const char* aData, std::size_t aSize)
+  {
+    auto& parser = self(aParser);
+    if (parser.mHeadDone) {
+      return 0; // trailers are not passed on
+    }
+    if (parser.mHeaders.empty() || parser.mInValue) {
+      parser.mHeaders.emplace_back();
+      parser.mInValue = false;
+    }
+    parser.mHeaders.back().name.append(aData, aSize);
+    return 0;
+  }
+  static int value(http_parser* aParser, const char* aData, std::size_t aSize)
+  {
+    auto& parser = self(aParser);
+    if (!parser.mHeadDone) {
+      parser.mInValue = true;
+      parser.mHeaders.back().value.append(aData, aSize);
+    }
+    return 0;
+  }
+  static int headers(http_parser* aParser)
+  {
+    auto& parser = self(aParser);
+    parser.mHeadDone = true;
+    std::size_t bytes = parser.mTarget.size();
+    for (const auto& header : parser.mHeaders) {
+      bytes += header.name.size() + header.value.size();
+    }
+    if (bytes > parser.mHeadLimit) {
+      parser.mHeadTooLarge = true;
+      return -1;
+    }
+    parser.mLength = aParser->content_length;
+    return parser.mListener.headParsed() ? 0 : 1;
+  }
+  static int body(http_parser* aParser, const char* aData, std::size_t aSize)
+  {
+    self(aParser).mListener.bodyParsed({ aData, aSize });
+    return 0;
+  }
+  static int complete(http_parser* aParser)
+  {
+    self(aParser).mInside = false;
+    http_parser_pause(aParser, 1);
+    self(aParser).mListener.messageParsed();
+    return 0;
+  }
+  static http_parser_settings settings()
+  {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_message_begin = &begin;
+    settings.on_url = &url;
+    settings.on_status = &status;
+    settings.on_header_field = &field;
+    settings.on_header_value = &value;
+    settings.on_headers_complete = &headers;
+    settings.on_body = &body;
+    settings.on_message_complete = &complete;
+    return settings;
+  }
+};
+
+MessageParser::MessageParser(Kind aKind, IMessageListener& aListener)
+  : mListener(aListener)
+{
+  http_parser_init(&mParser, aKind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+  mParser.data = this;
+}
+
+void
+MessageParser::reset()
+{
+  mHeaders.clear();
+  mTarget.clear();
+  mReason.clear();
+  mInValue = false;
+  mHeadDone = false;
+  mHeadBytes = 0;
+  mLength = 0;
+}
+
+std::size_t
+MessageParser::parse(std::string_view aData)
+{
+  static const http_parser_settings kSettings = Callbacks::settings();
+  if (mFailed || mHeadTooLarge) {
+    return 0;
+  }
+  if (!mHeadDone || !mInside) {
+    // The head limit is checked on whole reads, which are at most one buffer larger.
+    mHeadBytes += aData.size();
+  }
+  const std::size_t taken =
+    http_parser_execute(&mParser, &kSettings, aData.data(), aData.size());
+  const auto error = HTTP_PARSER_ERRNO(&mParser);
+  if (error == HPE_PAUSED) {
+    http_parser_pause(&mParser, 0);
+    return taken;
+  }
+  if (mHeadTooLarge) {
+    return taken;
+  }
+  if (error != HPE_OK || mParser.upgrade != 0) {
+    mFailed = true;
+    return taken;
+  }
+  if (mInside && !mHeadDone && mHeadBytes > mHeadLimit) {
+    mHeadTooLarge = true;
+  }
+  return taken;
+}
+
+void
+MessageParser::finish()
+{
+  static const http_parser_settings kSettings = Callbacks::settings();
+  if (!mFailed) {
+    http_parser_execute(&mParser, &kSettings, nullptr, 0);
+    const auto error = HTTP_PARSER_ERRNO(&mParser);
+    mFailed = error != HPE_OK && error != HPE_PAUSED;
+  }
+}
+
+std::string
+MessageParser::method() const
+{
+  return http_method_str(static_cast<http_method>(mParser.method));
+}
+
+} // namespace savoryrill::link
--- /dev/null
+++ b/src/link/internal/messageparser.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <http_parser.h>
+#include <string>
+#include <string_view>
+
+#include "link/types/message.h"
+
+namespace savoryrill::link {
+
+/// Receives the parts of a message. Must not destroy the parser from a call.
+class IMessageListener
+{
+public:
+  virtual ~IMessageListener() = default;
+  /// All header lines have arrived. Returns false if no body follows although the headers
+  /// announce one (the response to a HEAD request).
+  virtual bool headParsed() = 0;
+  virtual void bodyParsed(std::string_view aData) = 0;
+  virtual void messageParsed() = 0;
+};
+
+/// Parses HTTP/1.1 messages of one connection with http_parser and keeps the head of the
+/// current one. Stops after each message, so that the caller decides about what follows.
+/// Not thread safe.
+class MessageParser
+{
+public:
+  enum class Kind
+  {
+    Request,
+    Response
+  };
+
+  MessageParser(Kind aKind, IMessageListener& aListener);
+  MessageParser(const MessageParser&) = delete;
+  MessageParser& operator=(const MessageParser&) = delete;
+
+  /// Bounds the head of a message: start line and header lines.
+  void limitHead(std::size_t aBytes) { mHeadLimit = aBytes; }
+
+  /// Parses until the end of the data or of a message; returns the bytes taken. After an
+  /// error or a head above its limit nothing is taken.
+  std::size_t parse(std::string_view aData);
+
+  /// Tells the parser that the connection has ended, which completes a response without a
+  /// length.
+  void finish();
+
+  bool failed() const { return mFailed; }
+  bool headTooLarge() const { return mHeadTooLarge; }
+  /// True between the first byte of a message and its end.
+  bool insideMessage() const { return mInside; }
+
+  /// Head of the current message; meaningful from `headParsed` on.
+  const HeaderList& headers() const { return mHeaders; }
+  const std::string& target() const { return mTarget; }
+  std::string method() const;
+  int status() const { return static_cast<int>(mParser.status_code); }
+  const std::string& reason() const { return mReason; }
+  bool keepAlive() const { return http_should_keep_alive(&mParser) != 0; }
+  bool oldVersion() const { return mParser.http_major == 1 && mParser.http_minor == 0; }
+  bool chunked() const { return (mParser.flags & F_CHUNKED) != 0; }
+  bool hasLength() const { return (mParser.flags & F_CONTENTLENGTH) != 0; }
+  std::uint64_t length() const { return hasLength() ? mLength : 0; }
+
+private:
+  struct Callbacks;
+  void reset();
+
+  http_parser mParser{};
+  IMessageListener& mListener;
+  std::size_t mHeadLimit = 64UL * 1024;
+  std::size_t mHeadBytes = 0;
+  std::uint64_t mLength = 0;
+  HeaderList mHeaders;
+  std::string mTarget;
+  std::string mReason;
+  bool mInValue = false;
+  bool mHeadDone = false;
+  bool mInside = false;
+  bool mFailed = false;
+  bool mHeadTooLarge = false;
+};
+
+} // namespace savoryrill::link
--- /dev/null
+++ b/src/link/internal/outbound.cpp
@@ -0,0 +1,428 @@
+#include "link/outbound.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <sys/socket.h>
+
+namespace savoryrill::link {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 32UL * 1024;
+
+/// Seconds of a `Keep-Alive: timeout=N` line; zero if there is none.
+Duration
+keepAliveOf(const HeaderList& aHeaders)
+{
+  const auto* value = findHeader(aHeaders, "keep-alive");
+  if (value == nullptr) {
+    return Duration::zero();
+  }
+  constexpr std::string_view kName = "timeout=";
+  const auto at = value->find(kName);
+  if (at == std::string::npos) {
+    return Duration::zero();
+  }
+  std::uint32_t seconds = 0;
+  std::from_chars(value->data() + at + kName.size(), value->data() + value->size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+Outbound::Outbound(event::Loop& aLoop, Socket aSocket, Duration aConnectTimeout)
+  : mLoop(aLoop)
+  , mSocket(std::move(aSocket))
+  , mParser(MessageParser::Kind::Response, *this)
+{
+  mConnectTimer = mLoop.after(aConnectTimeout, [this] {
+    const auto self = shared_from_this();
+    if (!mConnected) {
+      failExchange(ExchangeFault::TooLate);
+    }
+  });
+}
+
+Outbound::~Outbound() = default;
+
+void
+Outbound::send(std::string aRequest, bool aWithoutBody, IExchangeHandler& aHandler)
+{
+  mHandler = &aHandler;
+  mOutput = std::move(aRequest);
+  mOutputSent = 0;
+  mWithoutBody = aWithoutBody;
+  mSkipping = false;
+  mMessageDone = false;
+  if (mConnected) {
+    // From the loop, so that no handler call happens inside `send`.
+    mWatchesWritable = true;
+    mWatch.reset();
+  }
+  watchSocket();
+}
+
+void
+Outbound::cancel()
+{
+  mHandler = nullptr;
+  close(true);
+}
+
+void
+Outbound::pause(bool aPaused)
+{
+  if (mPaused != aPaused && !mClosed) {
+    mPaused = aPaused;
+    mWatch.reset();
+    watchSocket();
+  }
+}
+
+bool
+Outbound::disturbed()
+{
+  char byte = 0;
+  const ssize_t size = recv(mSocket.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool
+Outbound::headParsed()
+{
+  mHead = ResponseHead{};
+  mHead.status = mParser.status();
+  mHead.reason = mParser.reason();
+  mHead.headers = mParser.headers();
+  const bool empty = mWithoutBody || mHead.status / 100 == 1 || mHead.status == 204 ||
+                     mHead.status == 304;
+  if (empty) {
+    mHead.framing = Framing::None;
+  } else if (mParser.chunked()) {
+    mHead.framing = Framing::Chunked;
+  } else if (mParser.hasLength()) {
+    mHead.framing = Framing::Length;
+    mHead.length = mParser.length();
+  } else {
+    mHead.framing = Framing::UntilClose;
+  }
+  if (mHead.status / 100 == 1) {
+    mSkipping = true; // an interim response
+    return true;
+  }
+  mSkipping = mHandler == nullptr || !mHandler->ownsResponse(mHead);
+  if (mSkipping) {
+    mReusable = false;
+    return !mWithoutBody;
+  }
+  mReusable = mReusable && mParser.keepAlive() && mHead.framing != Framing::UntilClose;
+  mKeepAlive = keepAliveOf(mHead.headers);
+  mHandler->responseStarted(mHead);
+  return !mWithoutBody;
+}
+
+void
+Outbound::bodyParsed(std::string_view aData)
+{
+  if (!mSkipping && mHandler != nullptr) {
+    mHandler->responseData(aData);
+  }
+}
+
+void
+Outbound::messageParsed()
+{
+  mMessageDone = true;
+}
+
+void
+Outbound::ready(event::Interest aInterest)
+{
+  const auto self = shared_from_this();
+  if (!mConnected) {
+    connectFinished();
+  }
+  if (aInterest.writable && !mClosed && mConnected) {
+    flush();
+  }
+  if (aInterest.readable && !mClosed && mConnected) {
+    readInput();
+  }
+}
+
+void
+Outbound::connectFinished()
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+  if (getsockopt(mSocket.fd(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+    failExchange(ExchangeFault::NotConnected);
+    return;
+  }
+  mConnected = true;
+  mConnectTimer.reset();
+}
+
+void
+Outbound::flush()
+{
+  while (mOutputSent < mOutput.size()) {
+    const ssize_t size = ::send(mSocket.fd(),
+                                mOutput.data() + mOutputSent,
+                                mOutput.size() - mOutputSent,
+                                MSG_NOSIGNAL);
+    if (size > 0) {
+      mOutputSent += static_cast<std::size_t>(size);
+    } else if (size < 0 && errno == EINTR) {
+      continue;
+    } else if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      break;
+    } else if (mOutputSent == 0) {
+      failExchange(ExchangeFault::NotConnected);
+      return;
+    } else {
+      // A response may have arrived before the upstream closed its side.
+      mReusable = false;
+      mOutput.clear();
+      mOutputSent = 1;
+      break;
+    }
+  }
+  watchSocket();
+}
+
+void
+Outbound::readInput()
+{
+  std::array<char, kReadBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  while (!mClosed && !mPaused) {
+    const ssize_t size = recv(mSocket.fd(), buffer.data(), buffer.size(), 0);
+    if (size > 0) {
+      parseInput({ buffer.data(), static_cast<std::size_t>(size) });
+      if (static_cast<std::size_t>(size) < buffer.size()) {
+        break;
+      }
+    } else if (size < 0 && errno == EINTR) {
+      continue;
+    } else if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      break;
+    } else {
+      inputEnded(size == 0);
+      return;
+    }
+  }
+  if (!mClosed) {
+    watchSocket();
+  }
+}
+
+void
+Outbound::parseInput(std::string_view aData)
+{
+  while (!aData.empty() && !mClosed) {
+    if (mHandler == nullptr) {
+      close(true); // bytes that belong to no request
+      return;
+    }
+    const std::size_t taken = mParser.parse(aData);
+    if (mClosed) {
+      return; // cancelled by the handler
+    }
+    if (mParser.failed() || mParser.headTooLarge()) {
+      failExchange(ExchangeFault::Malformed);
+      return;
+    }
+    aData.remove_prefix(taken);
+    if (!mMessageDone) {
+      continue;
+    }
+    mMessageDone = false;
+    if (mSkipping) {
+      mSkipping = false;
+      continue;
+    }
+    if (mOutputSent < mOutput.size()) {
+      mReusable = false; // answered before the whole request was sent
+    }
+    if (!aData.empty()) {
+      mReusable = false;
+      aData = {};
+    }
+    auto* handler = std::exchange(mHandler, nullptr);
+    mOutput.clear();
+    mOutputSent = 0;
+    if (!mReusable) {
+      close(false);
+    }
+    handler->responseFinished();
+    return;
+  }
+}
+
+void
+Outbound::inputEnded(bool aCleanly)
+{
+  if (mHandler == nullptr) {
+    close(false);
+    return;
+  }
+  if (aCleanly && mParser.insideMessage() && !mSkipping &&
+      mHead.framing == Framing::UntilClose && mHead.status != 0) {
+    mParser.finish();
+    if (mMessageDone && !mClosed) {
+      auto* handler = std::exchange(mHandler, nullptr);
+      close(false);
+      handler->responseFinished();
+      return;
+    }
+  }
+  if (!mClosed) {
+    failExchange(ExchangeFault::Broken);
+  }
+}
+
+void
+Outbound::failExchange(ExchangeFault aFault)
+{
+  auto* handler = std::exchange(mHandler, nullptr);
+  close(true);
+  if (handler != nullptr) {
+    handler->exchangeFailed(aFault);
+  }
+}
+
+void
+Outbound::watchSocket()
+{
+  if (mClosed) {
+    return;
+  }
+  const bool writable = !mConnected || mOutputSent < mOutput.size();
+  const bool readable = mConnected && !mPaused;
+  if (mWatch && writable == mWatchesWritable) {
+    return;
+  }
+  mWatchesWritable = writable;
+  mWatch.reset();
+  if (writable || readable) {
+    mWatch = mLoop.watch(
+      mSocket.fd(), { readable, writable }, [this](event::Interest aInterest) {
+        ready(aInterest);
+      });
+  }
+}
+
+void
+Outbound::close(bool aReset)
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  mReusable = false;
+  mWatch.reset();
+  mConnectTimer.reset();
+  if (aReset) {
+    mSocket.reset();
+  } else {
+    mSocket.close();
+  }
+}
+
+OutboundPool::OutboundPool(event::Loop& aLoop, Options aOptions)
+  : mLoop(aLoop)
+  , mOptions(aOptions)
+{
+  mTimer = mLoop.every(mOptions.idleMargin, [this] { closeExpired(); });
+}
+
+OutboundPool::Lease
+OutboundPool::take(const std::string& aKey,
+                   const Endpoint& aEndpoint,
+                   std::size_t aMostOpen)
+{
+  auto& entry = mEntries[aKey];
+  while (!entry.kept.empty()) {
+    // The youngest first, so that the others can expire.
+    auto kept = std::move(entry.kept.back());
+    entry.kept.pop_back();
+    if (kept.connection->reusable() && mLoop.now() < kept.until &&
+        !kept.connection->disturbed()) {
+      return { kept.connection, true };
+    }
+    --entry.open;
+    kept.connection->cancel();
+  }
+  if (entry.open >= aMostOpen) {
+    return {};
+  }
+  auto socket = connectTo(aEndpoint, mOptions.silence);
+  if (!socket) {
+    return {};
+  }
+  ++entry.open;
+  ++mOpened;
+  return { std::make_shared<Outbound>(
+             mLoop, std::move(socket.value()), mOptions.connectTimeout),
+           false };
+}
+
+void
+OutboundPool::giveBack(const std::string& aKey,
+                       const std::shared_ptr<Outbound>& aConnection)
+{
+  const auto found = mEntries.find(aKey);
+  if (found == mEntries.end()) {
+    aConnection->cancel();
+    return;
+  }
+  if (!aConnection->reusable()) {
+    --found->second.open;
+    aConnection->cancel();
+    return;
+  }
+  const auto stated = aConnection->keepAlive();
+  const auto keep = stated > Duration::zero() ? stated : mOptions.assumedKeepAlive;
+  const auto usable = std::min(keep - mOptions.idleMargin, mOptions.longestIdle);
+  found->second.kept.push_back({ aConnection, mLoop.now() + usable });
+}
+
+void
+OutboundPool::drop(const std::string& aKey)
+{
+  const auto found = mEntries.find(aKey);
+  if (found == mEntries.end()) {
+    return;
+  }
+  for (const auto& kept : found->second.kept) {
+    kept.connection->cancel();
+  }
+  found->second.open -= found->second.kept.size();
+  found->second.kept.clear();
+  if (found->second.open == 0) {
+    mEntries.erase(found);
+  }
+}
+
+void
+OutboundPool::closeExpired()
+{
+  const auto now = mLoop.now();
+  for (auto entry = mEntries.begin(); entry != mEntries.end();) {
+    auto& kept = entry->second.kept;
+    for (auto item = kept.begin(); item != kept.end();) {
+      if (item->connection->reusable() && now < item->until) {
+        ++item;
+        continue;
+      }
+      item->connection->cancel();
+      --entry->second.open;
+      item = kept.erase(item);
+    }
+    entry = entry->second.open == 0 ? mEntries.erase(entry) : std::next(entry);
+  }
+}
+
+} // namespace savoryrill::link
--- /dev/null
+++ b/src/link/socket.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+#include "base/types/time.h"
+#include "config/settings.h"
+
+namespace savoryrill::link {
+
+/// A numeric IPv4 address and port.
+using Endpoint = config::SocketAddress;
+
+/// Parses "ADDRESS:PORT" with a port above 0. Fails with InvalidArgument. Thread safe.
+Result<Endpoint>
+parseEndpoint(std::string_view aText);
+
+/// "ADDRESS:PORT". Thread safe.
+std::string
+toString(const Endpoint& aEndpoint);
+
+/// Owns a socket descriptor.
+class Socket
+{
+public:
+  Socket() = default;
+  explicit Socket(int aFd)
+    : mFd(aFd)
+  {
+  }
+  Socket(Socket&& aOther) noexcept
+    : mFd(aOther.release())
+  {
+  }
+  Socket& operator=(Socket&& aOther) noexcept;
+  ~Socket() { close(); }
+
+  int fd() const { return mFd; }
+  explicit operator bool() const { return mFd >= 0; }
+  int release();
+  void close();
+
+  /// Closes with a reset, so that bytes still on their way are dropped.
+  void reset();
+
+private:
+  int mFd = -1;
+};
+
+/// Opens a listening socket that does not block. Fails with Unavailable.
+Result<Socket>
+listenOn(const Endpoint& aEndpoint);
+
+/// Starts to connect without blocking. Unacknowledged data and a silent peer end the
+/// connection after `aSilence`. Fails with Unavailable.
+Result<Socket>
+connectTo(const Endpoint& aEndpoint, Duration aSilence);
+
+/// Sets the options that an accepted connection needs. Peers that have vanished are
+/// noticed by keep-alive probes after about `aSilence`.
+void
+prepareAccepted(const Socket& aSocket, Duration aSilence);
+
+} // namespace savoryrill::link
--- /dev/null
+++ b/src/link/types/message.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace savoryrill::link {
+
+/// One header line; order and case of a message's lines are kept.
+struct Header
+{
+  std::string name;
+  std::string value;
+};
+
+using HeaderList = std::vector<Header>;
+
+/// Compares header names as HTTP does. Thread safe.
+bool
+sameHeaderName(std::string_view aLeft, std::string_view aRight);
+
+/// Value of the first line called `aName`, or nothing (`nullptr`). Thread safe.
+const std::string*
+findHeader(const HeaderList& aHeaders, std::string_view aName);
+
+/// True for header lines that concern one connection only, including those that a
+/// `Connection` line of `aHeaders` names. Thread safe.
+bool
+isConnectionHeader(const HeaderList& aHeaders, std::string_view aName);
+
+/// A request whose body has arrived in full.
+struct RequestMessage
+{
+  std::string method;
+  std::string target; // as received, with the query
+  HeaderList headers;
+  std::string body;
+  bool oldVersion = false; // HTTP/1.0: no chunks in the response
+};
+
+/// How the end of a response body is marked.
+enum class Framing
+{
+  None,      // no body
+  Length,    // Content-Length
+  Chunked,   // terminating chunk
+  UntilClose // end of the connection
+};
+
+/// Status line and headers of a response.
+struct ResponseHead
+{
+  int status = 0;
+  std::string reason;
+  HeaderList headers;
+  Framing framing = Framing::None;
+  std::uint64_t length = 0; // bytes, for Framing::Length
+};
+
+} // namespace savoryrill::link
--- /dev/null
+++ b/src/serving/engineledger.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/types/time.h"
+#include "serving/types/placement.h"
+#include "serving/types/servingconfig.h"
+#include "serving/types/upstreamentry.h"
+
+namespace savoryrill::serving {
+
+/// Where an engine takes a checkpoint from.
+enum class CheckpointSource
+{
+  Memory,
+  Disk,
+  Store
+};
+
+/// What the leader of placement knows about one engine: its last settled report, and the
+/// orders since. An order without a response counts as perhaps carried out: its memory,
+/// adapter place and load stay taken until a report shows otherwise. Not thread safe; no
+/// I/O.
+class EngineLedger
+{
+public:
+  EngineLedger(const UpstreamEntry& aEntry, const EngineProfile& aProfile);
+
+  /// Takes a report. Reports from before the last accepted order are ignored. `aSent` is
+  /// when the report was asked for, or nothing if it came with the platform's list.
+  void reported(const EngineReport& aReport, std::optional<Instant> aSent, Instant aNow);
+
+  /// Takes the entry of the platform's list.
+  void listed(const UpstreamEntry& aEntry, Instant aNow);
+
+  /// The order to send for a change. Precondition: `mayOrder`.
+  PlacementOrder makeOrder(OrderKind aKind, const ModelKey& aModel) const;
+  void orderSent(const PlacementOrder& aOrder, Instant aNow);
+  void orderDone(OrderOutcome aOutcome, Instant aNow);
+
+  /// True if an order may be sent: the state is settled and no call is under way.
+  bool mayOrder() const { return !mLeaving && mSettled && !mCall && !mUnknown; }
+  /// True if a model order may be sent, of which an engine takes one at a time.
+  bool mayOrderModel(Instant aNow) const;
+  /// The order whose outcome is unknown and that is to be sent again, unchanged: at most
+  /// one of the copies can be accepted, as each expects the same count.
+  const PlacementOrder* orderToRepeat(Instant aNow) const;
+  /// True if a report should be read now.
+  bool wantsReport(Instant aNow) const;
+  void reportRequested(Instant aNow);
+  void reportFailed(Instant aNow) { mReportSent = aNow; }
+
+  const std::string& id() const { return mId; }
+  std::int64_t born() const { return mBorn; }
+  const std::string& dataCentre() const { return mDataCentre; }
+  bool leaving() const { return mLeaving; }
+  bool settled() const { return mSettled; }
+
+  /// True if the model is ready, and no order is about to remove it.
+  bool ready(const std::string& aModel) const;
+  /// True if the model is ready or on its way.
+  bool holds(const std::string& aModel) const;
+  bool adapterReady(const ModelKey& aAdapter, Instant aNow) const;
+  bool adapterHeld(const ModelKey& aAdapter) const;
+  std::size_t adapterCount() const;
+  std::vector<ModelKey> adapters() const;
+  std::vector<std::string> readyModels() const;
+  std::size_t modelCount() const;
+
+  /// Memory that is or may be taken, in megabytes.
+  double memoryUsedMb() const;
+  bool fits(const std::string& aModel) const;
+
+  CheckpointSource sourceOf(const std::string& aModel) const;
+  /// Expected time of a load alone.
+  Duration loadTime(const std::string& aModel) const;
+  bool hasCopy(const std::string& aModel) const;
+  std::set<std::string> copies() const;
+
+  /// The model order that is or may be in progress.
+  struct Pending
+  {
+    PlacementOrder order;
+    CheckpointSource source = CheckpointSource::Store;
+    Instant sent{};
+    Instant expectedEnd{};
+  };
+  const std::optional<Pending>& pending() const { return mPending; }
+  bool loadsFromStore() const;
+  /// When a model became ready here, for models loaded by order.
+  std::optional<Instant> readySince(const std::string& aModel) const;
+  /// Load of requests as reported.
+  std::uint32_t reportedLoad() const { return mLoad; }
+
+  std::vector<ReplicaView> view(Instant aNow) const;
+
+private:
+  const ModelProfile* profileOf(const std::string& aModel) const;
+  bool stillOrdering(const EngineReport& aReport) const;
+  void applyAccepted(const PlacementOrder& aOrder, bool aDone, Instant aNow);
+  void settle(const EngineReport& aReport, Instant aNow);
+
+  std::string mId;
+  std::int64_t mBorn = 0;
+  std::string mDataCentre;
+  const EngineProfile* mProfile;
+  bool mLeaving = false;
+  bool mSettled = false;
+  std::uint64_t mOrders = 0; // accepted, as far as known
+  std::map<std::string, std::set<std::string>> mModels; // with adapters
+  std::map<ModelKey, Instant> mAdapterReadyAt;
+  std::set<std::string> mInMemory;
+  std::set<std::string> mOnDisk;
+  std::map<std::string, Instant> mReadySince;
+  std::optional<Pending> mPending;
+  std::optional<PlacementOrder> mCall; // sent, response outstanding
+  Instant mCallSent{};
+  std::optional<PlacementOrder> mUnknown;
+  Instant mUnknownSince{};
+  Instant mReportSent{};
+  Instant mConflictUntil{};
+  int mConflicts = 0;
+  std::uint32_t mLoad = 0;
+};
+
+} // namespace savoryrill::serving
--- /dev/null
+++ b/src/serving/internal/engineledger.cpp
@@ -0,0 +1,463 @@
+#include "serving/engineledger.h"
+
+#include <algorithm>
+
+namespace savoryrill::serving {
+
+namespace {
+
+// An adapter load is not announced when it ends; it takes some tens of milliseconds.
+constexpr Duration kAdapterLoadTime = 60ms;
+// Pause between two reports of an engine whose order is about to end.
+constexpr Duration kReportPeriod = 200ms;
+// A report may describe the engine as it was this long before it was asked for.
+constexpr Duration kReportLag = 500ms;
+// Time after which an order without a response is sent again.
+constexpr Duration kRepeatPause = 600ms;
+// Pause after an engine has refused an order since it is busy; doubles up to the limit.
+constexpr Duration kConflictPause = 100ms;
+constexpr int kMostConflictDoublings = 3;
+// Conflicts in a row after which the count of orders is read again.
+constexpr int kConflictsBeforeReport = 2;
+// Unloads end within this time if nothing runs.
+constexpr Duration kUnloadTime = 150ms;
+
+} // namespace
+
+EngineLedger::EngineLedger(const UpstreamEntry& aEntry, const EngineProfile& aProfile)
+  : mId(aEntry.id)
+  , mBorn(aEntry.bornMs)
+  , mDataCentre(aEntry.dataCentre)
+  , mProfile(&aProfile)
+  , mLeaving(aEntry.leaving)
+{
+}
+
+const ModelProfile*
+EngineLedger::profileOf(const std::string& aModel) const
+{
+  const auto found = mProfile->models.find(aModel);
+  return found == mProfile->models.end() ? nullptr : &found->second;
+}
+
+void
+EngineLedger::listed(const UpstreamEntry& aEntry, Instant aNow)
+{
+  mLeaving = mLeaving || aEntry.leaving;
+  reported(aEntry.engine, std::nullopt, aNow);
+}
+
+void
+EngineLedger::reported(const EngineReport& aReport,
+                       std::optional<Instant> aSent,
+                       Instant aNow)
+{
+  if (aReport.ordersAccepted < mOrders) {
+    return; // from before the last accepted order
+  }
+  mLoad = aReport.running + aReport.waiting;
+  if (!aReport.inMemory.empty() || !aReport.onDisk.empty()) {
+    mInMemory = aReport.inMemory;
+    mOnDisk = aReport.onDisk;
+  }
+  if (mCall) {
+    return; // the call's own response settles more
+  }
+  if (mUnknown) {
+    if (aReport.ordersAccepted > mUnknown->expectedOrders) {
+      const auto order = *mUnknown;
+      mUnknown.reset();
+      applyAccepted(order, false, mUnknownSince);
+      mOrders = aReport.ordersAccepted;
+    } else {
+      return; // it may still be carried out; it is sent again
+    }
+  }
+  const bool advanced = aReport.ordersAccepted > mOrders;
+  mOrders = aReport.ordersAccepted;
+  const bool may_be_early =
+    aSent ? mPending && *aSent - kReportLag < mPending->sent : true;
+  if (mPending && !advanced && stillOrdering(aReport) &&
+      (may_be_early || aReport.ordering.value_or(true))) {
+    return;
+  }
+  settle(aReport, aNow);
+}
+
+bool
+EngineLedger::stillOrdering(const EngineReport& aReport) const
+{
+  const bool listed = std::ranges::any_of(aReport.models, [&](const auto& aModel) {
+    return aModel.model == mPending->order.model.model;
+  });
+  return aReport.ordering.value_or(false) ||
+         listed != (mPending->order.kind == OrderKind::Load);
+}
+
+void
+EngineLedger::settle(const EngineReport& aReport, Instant aNow)
+{
+  const bool was_settled = mSettled;
+  mSettled = true;
+  mPending.reset();
+  std::map<std::string, std::set<std::string>> models;
+  for (const auto& model : aReport.models) {
+    auto& adapters = models[model.model];
+    adapters = model.adapters;
+    if (was_settled && !mModels.contains(model.model)) {
+      mReadySince[model.model] = aNow;
+    }
+  }
+  for (const auto& adapter : aReport.adaptersInTransit) {
+    models[adapter.model].insert(adapter.adapter);
+    mAdapterReadyAt.try_emplace(adapter, aNow + kAdapterLoadTime);
+  }
+  // Adapters ordered a moment ago may be missing from a report that lags.
+  for (const auto& [adapter, ready_at] : mAdapterReadyAt) {
+    const auto model = models.find(adapter.model);
+    if (aNow - ready_at < kReportLag && model != models.end() &&
+        mModels[adapter.model].contains(adapter.adapter)) {
+      model->second.insert(adapter.adapter);
+    }
+  }
+  mModels = std::move(models);
+  std::erase_if(mAdapterReadyAt, [&](const auto& aItem) {
+    return aNow - aItem.second > 2 * kReportLag;
+  });
+}
+
+PlacementOrder
+EngineLedger::makeOrder(OrderKind aKind, const ModelKey& aModel) const
+{
+  return { mId, aKind, aModel, mOrders };
+}
+
+void
+EngineLedger::orderSent(const PlacementOrder& aOrder, Instant aNow)
+{
+  mCall = aOrder;
+  mCallSent = aNow;
+}
+
+void
+EngineLedger::orderDone(OrderOutcome aOutcome, Instant aNow)
+{
+  if (!mCall) {
+    return;
+  }
+  const auto order = *mCall;
+  mCall.reset();
+  const bool repeated = mUnknown.has_value();
+  switch (aOutcome) {
+    case OrderOutcome::Accepted:
+    case OrderOutcome::Done:
+      mUnknown.reset();
+      mConflicts = 0;
+      ++mOrders;
+      applyAccepted(order, aOutcome == OrderOutcome::Done, mCallSent);
+      break;
+    case OrderOutcome::AlreadyHolds:
+      mUnknown.reset();
+      mSettled = false; // the own picture was wrong
+      break;
+    case OrderOutcome::Conflict:
+      mConflicts = std::min(mConflicts + 1, kMostConflictDoublings);
+      mConflictUntil = aNow + kConflictPause * (1 << (mConflicts - 1));
+      if (repeated || mConflicts >= kConflictsBeforeReport) {
+        // The count has moved on: only a report tells what has been carried out.
+        mReportSent = Instant{};
+        mSettled = mSettled && !repeated;
+      }
+      break;
+    case OrderOutcome::Rejected:
+    case OrderOutcome::WrongUpstream:
+      mUnknown.reset();
+      mSettled = false;
+      break;
+    case OrderOutcome::Unknown:
+      if (!repeated) {
+        mUnknown = order;
+      }
+      mUnknownSince = aNow;
+      break;
+  }
+}
+
+void
+EngineLedger::applyAccepted(const PlacementOrder& aOrder, bool aDone, Instant aNow)
+{
+  const auto& key = aOrder.model;
+  if (!key.adapter.empty()) {
+    if (aOrder.kind == OrderKind::Load) {
+      mModels[key.model].insert(key.adapter);
+      mAdapterReadyAt[key] = aNow + kAdapterLoadTime;
+    } else if (aDone) {
+      mModels[key.model].erase(key.adapter);
+      mAdapterReadyAt.erase(key);
+    } else {
+      mSettled = false; // still in use: its place is free when a report says so
+    }
+    return;
+  }
+  Pending pending{ aOrder, sourceOf(key.model), aNow, aNow + kUnloadTime };
+  if (aOrder.kind == OrderKind::Load) {
+    pending.expectedEnd = aNow + loadTime(key.model);
+  } else {
+    mModels.erase(key.model);
+    mReadySince.erase(key.model);
+  }
+  mPending = pending;
+}
+
+bool
+EngineLedger::mayOrderModel(Instant aNow) const
+{
+  // An unload is followed by the next order without waiting for a report: the engine
+  // refuses it while the unload is in progress.
+  const bool free = !mPending || mPending->order.kind == OrderKind::Unload;
+  return mayOrder() && free && aNow >= mConflictUntil;
+}
+
+const PlacementOrder*
+EngineLedger::orderToRepeat(Instant aNow) const
+{
+  return mUnknown && !mCall && !mLeaving && aNow - mUnknownSince >= kRepeatPause
+           ? &*mUnknown
+           : nullptr;
+}
+
+bool
+EngineLedger::wantsReport(Instant aNow) const
+{
+  if (mCall || mLeaving || aNow - mReportSent < kReportPeriod) {
+    return false;
+  }
+  if (!mSettled || mUnknown || mConflicts >= kConflictsBeforeReport) {
+    return true;
+  }
+  if (!mPending || mPending->order.kind != OrderKind::Load ||
+      aNow < mPending->expectedEnd) {
+    return false;
+  }
+  // Loads that take longer than expected are asked for less and less often.
+  return aNow - mReportSent >= (aNow - mPending->expectedEnd) / 4;
+}
+
+void
+EngineLedger::reportRequested(Instant aNow)
+{
+  mReportSent = aNow;
+  mConflicts = 0;
+}
+
+bool
+EngineLedger::ready(const std::string& aModel) const
+{
+  const bool pending = mPending && mPending->order.model.model == aModel;
+  const bool called = mCall && mCall->model.adapter.empty() &&
+                      mCall->kind == OrderKind::Unload && mCall->model.model == aModel;
+  const bool unknown = mUnknown && mUnknown->model.adapter.empty() &&
+                       mUnknown->kind == OrderKind::Unload &&
+                       mUnknown->model.model == aModel;
+  return !mLeaving && !pending && !called && !unknown && mModels.contains(aModel);
+}
+
+bool
+EngineLedger::holds(const std::string& aModel) const
+{
+  const auto loads = [&](const PlacementOrder& aOrder) {
+    return aOrder.kind == OrderKind::Load && aOrder.model.adapter.empty() &&
+           aOrder.model.model == aModel;
+  };
+  return ready(aModel) || (mPending && loads(mPending->order)) ||
+         (mCall && loads(*mCall)) || (mUnknown && loads(*mUnknown));
+}
+
+bool
+EngineLedger::adapterReady(const ModelKey& aAdapter, Instant aNow) const
+{
+  const auto ready_at = mAdapterReadyAt.find(aAdapter);
+  return ready(aAdapter.model) && mModels.at(aAdapter.model).contains(aAdapter.adapter) &&
+         (ready_at == mAdapterReadyAt.end() || aNow >= ready_at->second);
+}
+
+bool
+EngineLedger::adapterHeld(const ModelKey& aAdapter) const
+{
+  const auto model = mModels.find(aAdapter.model);
+  const bool called = mCall && mCall->model == aAdapter && mCall->kind == OrderKind::Load;
+  const bool unknown = mUnknown && mUnknown->model == aAdapter;
+  return called || unknown ||
+         (model != mModels.end() && model->second.contains(aAdapter.adapter));
+}
+
+std::size_t
+EngineLedger::adapterCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [model, adapters] : mModels) {
+    count += adapters.size();
+  }
+  const auto loads = [](const std::optional<PlacementOrder>& aOrder) {
+    return aOrder && !aOrder->model.adapter.empty() && aOrder->kind == OrderKind::Load;
+  };
+  return count + (loads(mCall) || loads(mUnknown) ? 1 : 0);
+}
+
+std::vector<ModelKey>
+EngineLedger::adapters() const
+{
+  std::vector<ModelKey> keys;
+  for (const auto& [model, adapters] : mModels) {
+    for (const auto& adapter : adapters) {
+      keys.push_back({ model, adapter });
+    }
+  }
+  return keys;
+}
+
+std::vector<std::string>
+EngineLedger::readyModels() const
+{
+  std::vector<std::string> models;
+  for (const auto& [model, adapters] : mModels) {
+    if (ready(model)) {
+      models.push_back(model);
+    }
+  }
+  return models;
+}
+
+std::size_t
+EngineLedger::modelCount() const
+{
+  return mModels.size();
+}
+
+double
+EngineLedger::memoryUsedMb() const
+{
+  double used = 0;
+  const auto add = [&](const ModelKey& aKey) {
+    const auto* profile = profileOf(aKey.model);
+    // A model that the configuration does not name takes an unknown part: count all.
+    used += profile == nullptr      ? mProfile->memoryMb
+            : aKey.adapter.empty() ? profile->footprintMb
+                                   : profile->adapterMb;
+  };
+  for (const auto& [model, adapters] : mModels) {
+    add({ model, "" });
+    for (const auto& adapter : adapters) {
+      add({ model, adapter });
+    }
+  }
+  const auto add_load = [&](const PlacementOrder& aOrder) {
+    if (aOrder.kind == OrderKind::Load && !mModels.contains(aOrder.model.model)) {
+      add(aOrder.model);
+    }
+  };
+  if (mPending) {
+    add_load(mPending->order);
+  }
+  if (mCall) {
+    add_load(*mCall);
+  } else if (mUnknown) {
+    add_load(*mUnknown);
+  }
+  return used;
+}
+
+bool
+EngineLedger::fits(const std::string& aModel) const
+{
+  const auto* profile = profileOf(aModel);
+  return profile != nullptr && memoryUsedMb() + profile->footprintMb <= mProfile->memoryMb;
+}
+
+CheckpointSource
+EngineLedger::sourceOf(const std::string& aModel) const
+{
+  if (mInMemory.contains(aModel)) {
+    return CheckpointSource::Memory;
+  }
+  return mOnDisk.contains(aModel) ? CheckpointSource::Disk : CheckpointSource::Store;
+}
+
+Duration
+EngineLedger::loadTime(const std::string& aModel) const
+{
+  const auto* profile = profileOf(aModel);
+  if (profile == nullptr) {
+    return Duration::max() / 4;
+  }
+  switch (sourceOf(aModel)) {
+    case CheckpointSource::Memory:
+      return profile->fromMemory;
+    case CheckpointSource::Disk:
+      return profile->fromDisk;
+    case CheckpointSource::Store:
+      return profile->fromStore;
+  }
+  return profile->fromStore;
+}
+
+bool
+EngineLedger::hasCopy(const std::string& aModel) const
+{
+  return mInMemory.contains(aModel) || mOnDisk.contains(aModel);
+}
+
+std::set<std::string>
+EngineLedger::copies() const
+{
+  std::set<std::string> all = mOnDisk;
+  all.insert(mInMemory.begin(), mInMemory.end());
+  return all;
+}
+
+bool
+EngineLedger::loadsFromStore() const
+{
+  const auto from_store = [&](const PlacementOrder& aOrder) {
+    return aOrder.kind == OrderKind::Load && aOrder.model.adapter.empty() &&
+           sourceOf(aOrder.model.model) == CheckpointSource::Store;
+  };
+  return (mPending && mPending->order.kind == OrderKind::Load &&
+          mPending->source == CheckpointSource::Store) ||
+         (mCall && from_store(*mCall)) || (mUnknown && from_store(*mUnknown));
+}
+
+std::optional<Instant>
+EngineLedger::readySince(const std::string& aModel) const
+{
+  const auto found = mReadySince.find(aModel);
+  return found == mReadySince.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<ReplicaView>
+EngineLedger::view(Instant aNow) const
+{
+  std::vector<ReplicaView> replicas;
+  for (const auto& [model, adapters] : mModels) {
+    ReplicaView replica;
+    replica.model = model;
+    replica.phase = ready(model) ? ReplicaPhase::Ready : ReplicaPhase::Unloading;
+    for (const auto& adapter : adapters) {
+      if (adapterReady({ model, adapter }, aNow)) {
+        replica.adapters.push_back(adapter);
+      }
+    }
+    replicas.push_back(std::move(replica));
+  }
+  if (mPending && mPending->order.kind == OrderKind::Load &&
+      !mModels.contains(mPending->order.model.model)) {
+    ReplicaView replica;
+    replica.model = mPending->order.model.model;
+    replica.phase = ReplicaPhase::Loading;
+    replica.readyIn = std::max(Duration(50ms), mPending->expectedEnd - aNow);
+    replicas.push_back(std::move(replica));
+  }
+  return replicas;
+}
+
+} // namespace savoryrill::serving
--- /dev/null
+++ b/src/serving/internal/placementplanner.cpp
@@ -0,0 +1,594 @@
+#include "serving/placementplanner.h"
+
+#include <algorithm>
+#include <set>
+
+namespace savoryrill::serving {
+
+namespace {
+
+// Added to the time of a load whose place is still used by running requests.
+constexpr Duration kRunningRequestsTime = 1500ms;
+// Cost, as a time, of removing the only ready copy of a model; above that of a surplus
+// copy, so that surplus copies go first.
+constexpr double kLastCopyCost = 1.0;
+// Cost of a surplus copy for each request in progress that the other copies take over.
+constexpr double kSurplusRequestCost = 0.02;
+// Cost, in seconds, of removing a model that was asked for just now; falls to zero with
+// the time since.
+constexpr double kRecentCost = 1.0;
+
+} // namespace
+
+PlacementPlanner::PlacementPlanner(Options aOptions, Instant aNow)
+  : mOptions(aOptions)
+  , mStarted(aNow)
+{
+}
+
+void
+PlacementPlanner::setProfile(const EngineProfile& aProfile)
+{
+  mProfile = aProfile;
+}
+
+void
+PlacementPlanner::updateEngine(const UpstreamEntry& aEntry, Instant aNow)
+{
+  const auto found = mEngines.find(aEntry.id);
+  if (found != mEngines.end() && found->second.born() == aEntry.bornMs) {
+    found->second.listed(aEntry, aNow);
+    return;
+  }
+  mSwaps.erase(aEntry.id);
+  auto& engine =
+    mEngines.insert_or_assign(aEntry.id, EngineLedger(aEntry, mProfile)).first->second;
+  engine.listed(aEntry, aNow);
+}
+
+void
+PlacementPlanner::removeEngine(const std::string& aId)
+{
+  mEngines.erase(aId);
+  mSwaps.erase(aId);
+}
+
+std::vector<std::string>
+PlacementPlanner::engineIds() const
+{
+  std::vector<std::string> ids;
+  for (const auto& [id, engine] : mEngines) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+void
+PlacementPlanner::reportDemand(const std::string& aHost,
+                               const std::vector<DemandItem>& aItems,
+                               Instant aNow)
+{
+  mHosts[aHost] = { aItems, aNow };
+  for (const auto& item : aItems) {
+    if (item.arrivals > 0 || item.waiting > 0) {
+      mLastRequest[item.model.model] = aNow;
+      mLastAdapterRequest[item.model] = aNow;
+    }
+  }
+}
+
+void
+PlacementPlanner::collectDemand(Instant aNow)
+{
+  mDemand.clear();
+  std::erase_if(mHosts, [&](const auto& aHost) {
+    return aNow - aHost.second.at > mOptions.demandLife;
+  });
+  const auto add = [&](const ModelKey& aKey, const DemandItem& aItem, Instant aAt) {
+    auto& demand = mDemand[aKey];
+    if (aItem.waiting > 0) {
+      demand.priority = demand.waiting == 0 ? aItem.priority
+                                            : std::min(demand.priority, aItem.priority);
+      if (aItem.deadline) {
+        const Instant deadline = aAt + *aItem.deadline;
+        demand.deadline =
+          demand.deadline ? std::min(*demand.deadline, deadline) : deadline;
+      }
+    }
+    demand.waiting += aItem.waiting;
+    demand.inFlight += aItem.inFlight;
+  };
+  for (const auto& [host, demand] : mHosts) {
+    for (const auto& item : demand.items) {
+      add({ item.model.model, "" }, item, demand.at);
+      if (!item.model.adapter.empty()) {
+        add(item.model, item, demand.at);
+      }
+    }
+  }
+}
+
+PlacementPlanner::Demand
+PlacementPlanner::demandOf(const ModelKey& aKey) const
+{
+  const auto found = mDemand.find(aKey);
+  return found == mDemand.end() ? Demand{} : found->second;
+}
+
+std::uint32_t
+PlacementPlanner::readyCopies(const std::string& aModel) const
+{
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+    mEngines, [&](const auto& aItem) { return aItem.second.ready(aModel); }));
+}
+
+std::uint32_t
+PlacementPlanner::heldCopies(const std::string& aModel) const
+{
+  const auto held = std::ranges::count_if(mEngines, [&](const auto& aItem) {
+    return !aItem.second.leaving() && aItem.second.holds(aModel);
+  });
+  const auto coming = std::ranges::count_if(
+    mSwaps, [&](const auto& aSwap) { return aSwap.second == aModel; });
+  return static_cast<std::uint32_t>(held + coming);
+}
+
+bool
+PlacementPlanner::copyAnywhere(const std::string& aModel) const
+{
+  return std::ranges::any_of(mEngines, [&](const auto& aItem) {
+    const auto& engine = aItem.second;
+    return !engine.leaving() && (engine.holds(aModel) || engine.hasCopy(aModel));
+  });
+}
+
+std::uint32_t
+PlacementPlanner::storeLoads() const
+{
+  std::uint32_t loads = 0;
+  for (const auto& [id, engine] : mEngines) {
+    const auto swap = mSwaps.find(id);
+    const bool planned = swap != mSwaps.end() &&
+                         engine.sourceOf(swap->second) == CheckpointSource::Store;
+    loads += engine.loadsFromStore() || planned ? 1 : 0;
+  }
+  return loads;
+}
+
+bool
+PlacementPlanner::storeLoadAllowed(Instant aNow)
+{
+  while (!mStoreLoadStarts.empty() &&
+         aNow - mStoreLoadStarts.front() > mOptions.rateWindow) {
+    mStoreLoadStarts.pop_front();
+  }
+  const double most =
+    std::max(1.0, mProfile.storeLoadsPerSecond * toSeconds(mOptions.rateWindow));
+  return static_cast<double>(mStoreLoadStarts.size()) + 1 <= most &&
+         storeLoads() < mOptions.fullSpeedLoads;
+}
+
+std::optional<double>
+PlacementPlanner::costOfRemoving(const EngineLedger& aEngine,
+                                 const std::string& aModel,
+                                 Instant aNow) const
+{
+  const auto demand = demandOf({ aModel, "" });
+  const std::uint32_t copies = readyCopies(aModel);
+  const auto since = aEngine.readySince(aModel);
+  if (since && aNow - *since < mOptions.leastStay) {
+    return std::nullopt;
+  }
+  const auto last = mLastRequest.find(aModel);
+  const Duration idle = aNow - (last == mLastRequest.end() ? mStarted : last->second);
+  const bool recent = idle < mOptions.idleAfter;
+  if (copies <= 1) {
+    if (demand.waiting > 0 || demand.inFlight > 0) {
+      return std::nullopt;
+    }
+    const double share =
+      1.0 - std::min(1.0, toSeconds(idle) / toSeconds(mOptions.idleAfter));
+    return kLastCopyCost + kRecentCost * share;
+  }
+  if (recent && copies <= mOptions.copiesOfBusy) {
+    return std::nullopt;
+  }
+  const double load_after = static_cast<double>(demand.inFlight + demand.waiting) /
+                            static_cast<double>(copies - 1);
+  if (load_after > mOptions.batchShareForCopy * mProfile.concurrency) {
+    return std::nullopt;
+  }
+  return kSurplusRequestCost * static_cast<double>(demand.inFlight);
+}
+
+std::optional<PlacementPlanner::Place>
+PlacementPlanner::placeAt(EngineLedger& aEngine,
+                          const std::string& aModel,
+                          Instant aNow) const
+{
+  if (aEngine.leaving() || !aEngine.mayOrderModel(aNow) || aEngine.holds(aModel) ||
+      mSwaps.contains(aEngine.id())) {
+    return std::nullopt;
+  }
+  Place place{ &aEngine, "", aEngine.loadTime(aModel), 0.0 };
+  if (aEngine.fits(aModel)) {
+    place.cost = toSeconds(place.readyIn);
+    return place;
+  }
+  std::optional<double> least;
+  for (const auto& model : aEngine.readyModels()) {
+    const auto cost = costOfRemoving(aEngine, model, aNow);
+    if (cost && (!least || *cost < *least)) {
+      least = cost;
+      place.victim = model;
+    }
+  }
+  if (!least) {
+    return std::nullopt;
+  }
+  if (demandOf({ place.victim, "" }).inFlight > 0) {
+    place.readyIn += kRunningRequestsTime;
+  }
+  place.cost = toSeconds(place.readyIn) + *least;
+  return place;
+}
+
+std::optional<PlacementPlanner::Place>
+PlacementPlanner::bestPlace(const std::string& aModel, bool aFromStore, Instant aNow)
+{
+  std::optional<Place> best;
+  for (auto& [id, engine] : mEngines) {
+    const bool from_store = engine.sourceOf(aModel) == CheckpointSource::Store;
+    if (from_store && !aFromStore) {
+      continue;
+    }
+    const auto place = placeAt(engine, aModel, aNow);
+    if (place && (!best || place->cost < best->cost)) {
+      best = place;
+    }
+  }
+  return best;
+}
+
+void
+PlacementPlanner::send(EngineLedger& aEngine,
+                       OrderKind aKind,
+                       const ModelKey& aModel,
+                       Instant aNow,
+                       std::vector<PlacementOrder>& aOrders)
+{
+  const bool from_store = aKind == OrderKind::Load && aModel.adapter.empty() &&
+                          aEngine.sourceOf(aModel.model) == CheckpointSource::Store;
+  if (from_store) {
+    mStoreLoadStarts.push_back(aNow);
+  }
+  aOrders.push_back(aEngine.makeOrder(aKind, aModel));
+  aEngine.orderSent(aOrders.back(), aNow);
+}
+
+void
+PlacementPlanner::occupy(const Place& aPlace,
+                         const std::string& aModel,
+                         Instant aNow,
+                         std::vector<PlacementOrder>& aOrders)
+{
+  if (aPlace.victim.empty()) {
+    send(*aPlace.engine, OrderKind::Load, { aModel, "" }, aNow, aOrders);
+    return;
+  }
+  mSwaps[aPlace.engine->id()] = aModel;
+  send(*aPlace.engine, OrderKind::Unload, { aPlace.victim, "" }, aNow, aOrders);
+}
+
+void
+PlacementPlanner::repeatUnknown(Instant aNow, std::vector<PlacementOrder>& aOrders)
+{
+  for (auto& [id, engine] : mEngines) {
+    if (const auto* order = engine.orderToRepeat(aNow)) {
+      aOrders.push_back(*order);
+      engine.orderSent(aOrders.back(), aNow);
+    }
+  }
+}
+
+void
+PlacementPlanner::continueSwaps(Instant aNow, std::vector<PlacementOrder>& aOrders)
+{
+  for (auto swap = mSwaps.begin(); swap != mSwaps.end();) {
+    const auto found = mEngines.find(swap->first);
+    if (found == mEngines.end() || found->second.leaving() ||
+        found->second.holds(swap->second)) {
+      swap = mSwaps.erase(swap);
+      continue;
+    }
+    auto& engine = found->second;
+    if (engine.mayOrderModel(aNow)) {
+      if (engine.fits(swap->second)) {
+        send(engine, OrderKind::Load, { swap->second, "" }, aNow, aOrders);
+      }
+      // Without room the unload has had no effect, and the place is chosen anew.
+      swap = mSwaps.erase(swap);
+      continue;
+    }
+    ++swap;
+  }
+}
+
+void
+PlacementPlanner::placeAdapters(Instant aNow, std::vector<PlacementOrder>& aOrders)
+{
+  for (const auto& [key, demand] : mDemand) {
+    if (key.adapter.empty() || demand.waiting == 0) {
+      continue;
+    }
+    const bool held = std::ranges::any_of(mEngines, [&](const auto& aItem) {
+      return aItem.second.ready(key.model) && aItem.second.adapterHeld(key);
+    });
+    if (held) {
+      continue;
+    }
+    // The copy with the fewest adapters; where all are full, the one whose least recently
+    // used adapter has been idle longest.
+    EngineLedger* target = nullptr;
+    std::optional<ModelKey> victim;
+    std::pair<std::size_t, Instant> best{ mProfile.adapterPlaces + 1UL, Instant::max() };
+    for (auto& [id, engine] : mEngines) {
+      if (!engine.ready(key.model) || !engine.mayOrder()) {
+        continue;
+      }
+      if (engine.adapterCount() < mProfile.adapterPlaces) {
+        const std::pair candidate{ engine.adapterCount(), Instant::min() };
+        if (candidate < best) {
+          best = candidate;
+          target = &engine;
+          victim.reset();
+        }
+        continue;
+      }
+      for (const auto& adapter : engine.adapters()) {
+        const auto use = demandOf(adapter);
+        const auto last = mLastAdapterRequest.find(adapter);
+        const Instant used = last == mLastAdapterRequest.end() ? mStarted : last->second;
+        const std::pair candidate{ std::size_t{ mProfile.adapterPlaces }, used };
+        if (use.waiting == 0 && use.inFlight == 0 && candidate < best) {
+          best = candidate;
+          target = &engine;
+          victim = adapter;
+        }
+      }
+    }
+    if (target == nullptr) {
+      continue;
+    }
+    if (victim) {
+      send(*target, OrderKind::Unload, *victim, aNow, aOrders);
+    } else if (const auto profile = mProfile.models.find(key.model);
+               profile != mProfile.models.end() &&
+               target->memoryUsedMb() + profile->second.adapterMb <= mProfile.memoryMb) {
+      send(*target, OrderKind::Load, key, aNow, aOrders);
+    }
+  }
+}
+
+void
+PlacementPlanner::placeWanted(Instant aNow, std::vector<PlacementOrder>& aOrders)
+{
+  struct Wanted
+  {
+    std::string model;
+    Demand demand;
+    bool copied = false;
+  };
+  std::vector<Wanted> wanted;
+  for (const auto& [key, demand] : mDemand) {
+    if (key.adapter.empty() && demand.waiting > 0 && heldCopies(key.model) == 0 &&
+        mProfile.models.contains(key.model)) {
+      wanted.push_back({ key.model, demand, copyAnywhere(key.model) });
+    }
+  }
+  // Quick loads first, then models with more waiting callers, then the earliest deadline.
+  std::ranges::sort(wanted, [](const Wanted& aLeft, const Wanted& aRight) {
+    if (aLeft.copied != aRight.copied) {
+      return aLeft.copied;
+    }
+    if (aLeft.demand.waiting != aRight.demand.waiting) {
+      return aLeft.demand.waiting > aRight.demand.waiting;
+    }
+    return aLeft.demand.deadline.value_or(Instant::max()) <
+           aRight.demand.deadline.value_or(Instant::max());
+  });
+  for (const auto& item : wanted) {
+    // A copy that cannot be used in the time of a load from the store is not waited for.
+    auto place = bestPlace(item.model, false, aNow);
+    if (!place && !item.copied && storeLoadAllowed(aNow)) {
+      place = bestPlace(item.model, true, aNow);
+    }
+    if (place) {
+      occupy(*place, item.model, aNow, aOrders);
+    }
+  }
+}
+
+void
+PlacementPlanner::addCopies(Instant aNow, std::vector<PlacementOrder>& aOrders)
+{
+  for (const auto& [key, demand] : mDemand) {
+    if (!key.adapter.empty() || !mProfile.models.contains(key.model)) {
+      continue;
+    }
+    const std::uint32_t copies = heldCopies(key.model);
+    const double load = static_cast<double>(demand.inFlight + demand.waiting);
+    if (copies == 0 ||
+        load / copies <= mOptions.batchShareForCopy * mProfile.concurrency) {
+      continue;
+    }
+    auto place = bestPlace(key.model, false, aNow);
+    if (!place && storeLoadAllowed(aNow)) {
+      place = bestPlace(key.model, true, aNow);
+    }
+    if (place) {
+      occupy(*place, key.model, aNow, aOrders);
+    }
+  }
+}
+
+void
+PlacementPlanner::restoreFromDisk(Instant aNow, std::vector<PlacementOrder>& aOrders)
+{
+  for (auto& [id, engine] : mEngines) {
+    if (!engine.mayOrderModel(aNow) || engine.pending() || mSwaps.contains(id)) {
+      continue;
+    }
+    std::optional<std::pair<Instant, std::string>> latest;
+    for (const auto& model : engine.copies()) {
+      if (!mProfile.models.contains(model) || !engine.fits(model) ||
+          heldCopies(model) > 0) {
+        continue;
+      }
+      const auto last = mLastRequest.find(model);
+      const std::pair candidate{ last == mLastRequest.end() ? Instant{} : last->second,
+                                 model };
+      if (!latest || candidate > *latest) {
+        latest = candidate;
+      }
+    }
+    if (latest) {
+      send(engine, OrderKind::Load, { latest->second, "" }, aNow, aOrders);
+    }
+  }
+}
+
+void
+PlacementPlanner::copyFromStore(Instant aNow, std::vector<PlacementOrder>& aOrders)
+{
+  for (const auto& [model, profile] : mProfile.models) {
+    if (!storeLoadAllowed(aNow)) {
+      return;
+    }
+    if (copyAnywhere(model) || heldCopies(model) > 0) {
+      continue;
+    }
+    if (const auto place = bestPlace(model, true, aNow)) {
+      occupy(*place, model, aNow, aOrders);
+    } else {
+      return;
+    }
+  }
+}
+
+std::vector<PlacementOrder>
+PlacementPlanner::plan(Instant aNow)
+{
+  std::vector<PlacementOrder> orders;
+  collectDemand(aNow);
+  repeatUnknown(aNow, orders);
+  continueSwaps(aNow, orders);
+  placeAdapters(aNow, orders);
+  placeWanted(aNow, orders);
+  addCopies(aNow, orders);
+  restoreFromDisk(aNow, orders);
+  copyFromStore(aNow, orders);
+  return orders;
+}
+
+void
+PlacementPlanner::orderDone(const std::string& aUpstream,
+                            OrderOutcome aOutcome,
+                            Instant aNow)
+{
+  if (const auto found = mEngines.find(aUpstream); found != mEngines.end()) {
+    found->second.orderDone(aOutcome, aNow);
+  }
+}
+
+std::vector<std::string>
+PlacementPlanner::reportsWanted(Instant aNow)
+{
+  std::vector<std::string> ids;
+  for (auto& [id, engine] : mEngines) {
+    if (engine.wantsReport(aNow)) {
+      engine.reportRequested(aNow);
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+void
+PlacementPlanner::reportRead(const std::string& aUpstream,
+                             const EngineReport& aReport,
+                             Instant aSent,
+                             Instant aNow)
+{
+  if (const auto found = mEngines.find(aUpstream); found != mEngines.end()) {
+    found->second.reported(aReport, aSent, aNow);
+  }
+}
+
+void
+PlacementPlanner::reportFailed(const std::string& aUpstream, Instant aNow)
+{
+  if (const auto found = mEngines.find(aUpstream); found != mEngines.end()) {
+    found->second.reportFailed(aNow);
+  }
+}
+
+std::vector<ReplicaView>
+PlacementPlanner::view(const std::string& aUpstream, Instant aNow) const
+{
+  const auto found = mEngines.find(aUpstream);
+  return found == mEngines.end() ? std::vector<ReplicaView>{} : found->second.view(aNow);
+}
+
+std::vector<std::string>
+PlacementPlanner::wantedModels() const
+{
+  std::vector<std::string> models;
+  for (const auto& [key, demand] : mDemand) {
+    if (key.adapter.empty() && demand.waiting > 0) {
+      models.push_back(key.model);
+    }
+  }
+  return models;
+}
+
+std::optional<Duration>
+PlacementPlanner::timeUntilReady(const std::string& aModel, Instant aNow) const
+{
+  const auto profile = mProfile.models.find(aModel);
+  if (profile == mProfile.models.end()) {
+    return std::nullopt;
+  }
+  std::optional<Duration> least;
+  std::uint32_t ahead = 0;
+  for (const auto& [id, engine] : mEngines) {
+    if (engine.ready(aModel)) {
+      return Duration::zero();
+    }
+    const auto& pending = engine.pending();
+    if (pending && pending->order.kind == OrderKind::Load) {
+      const Duration rest = std::max(Duration(100ms), pending->expectedEnd - aNow);
+      if (pending->order.model.model == aModel) {
+        least = least ? std::min(*least, rest) : rest;
+      }
+    }
+    if (!engine.leaving() && engine.hasCopy(aModel)) {
+      const Duration load = engine.loadTime(aModel) + kRunningRequestsTime;
+      least = least ? std::min(*least, load) : load;
+    }
+  }
+  if (least) {
+    return least;
+  }
+  // Behind the models without any copy for which callers wait.
+  for (const auto& [key, demand] : mDemand) {
+    if (key.adapter.empty() && demand.waiting > 0 && key.model != aModel &&
+        !copyAnywhere(key.model)) {
+      ++ahead;
+    }
+  }
+  const auto rounds = 1 + (ahead + storeLoads()) / std::max(1U, mOptions.fullSpeedLoads);
+  return profile->second.fromStore * rounds;
+}
+
+} // namespace savoryrill::serving
--- /dev/null
+++ b/src/serving/internal/upstreamdirectory.cpp
@@ -0,0 +1,136 @@
+#include "serving/upstreamdirectory.h"
+
+#include <set>
+
+namespace savoryrill::serving {
+
+using Kind = DirectoryChange::Kind;
+
+std::string
+toString(const ModelKey& aKey)
+{
+  return aKey.adapter.empty() ? aKey.model : aKey.model + "/" + aKey.adapter;
+}
+
+void
+UpstreamDirectory::update(UpstreamEntry aEntry,
+                          Instant /*aNow*/,
+                          std::vector<DirectoryChange>& aChanges)
+{
+  const std::string id = aEntry.id;
+  if (mMissingUntil.erase(id) > 0) {
+    aChanges.push_back({ Kind::Returned, id });
+  }
+  const auto found = mEntries.find(id);
+  if (found == mEntries.end() || found->second.bornMs < aEntry.bornMs) {
+    const bool leaving = aEntry.leaving;
+    mEntries[id] = std::move(aEntry);
+    aChanges.push_back({ Kind::Added, id });
+    if (leaving) {
+      aChanges.push_back({ Kind::Leaving, id });
+    }
+    return;
+  }
+  if (found->second.bornMs > aEntry.bornMs) {
+    return; // a late entry of an earlier incarnation
+  }
+  if (aEntry.leaving && !found->second.leaving) {
+    aChanges.push_back({ Kind::Leaving, id });
+  }
+  aEntry.leaving = aEntry.leaving || found->second.leaving;
+  if (aEntry.engine.ordersAccepted < found->second.engine.ordersAccepted) {
+    aEntry.engine = std::move(found->second.engine); // a late entry of this incarnation
+  }
+  found->second = std::move(aEntry);
+}
+
+bool
+UpstreamDirectory::afterOutage(Instant aNow) const
+{
+  if (mLastRead && aNow - *mLastRead > kOutageGap) {
+    return true;
+  }
+  return mOutageEnded && aNow - *mOutageEnded < kReturnTime;
+}
+
+void
+UpstreamDirectory::remove(const std::string& aId,
+                          Instant aNow,
+                          std::vector<DirectoryChange>& aChanges)
+{
+  const auto found = mEntries.find(aId);
+  if (found == mEntries.end()) {
+    return;
+  }
+  if (afterOutage(aNow) && !found->second.leaving) {
+    const Instant ended = mLastRead && aNow - *mLastRead > kOutageGap ? aNow
+                                                                       : *mOutageEnded;
+    mMissingUntil.try_emplace(aId, ended + kReturnTime);
+    return;
+  }
+  mEntries.erase(found);
+  mMissingUntil.erase(aId);
+  aChanges.push_back({ Kind::Vanished, aId });
+}
+
+void
+UpstreamDirectory::replaceAll(std::vector<UpstreamEntry> aEntries,
+                              Instant aNow,
+                              std::vector<DirectoryChange>& aChanges)
+{
+  std::set<std::string> present;
+  for (auto& entry : aEntries) {
+    present.insert(entry.id);
+    update(std::move(entry), aNow, aChanges);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : mEntries) {
+    if (!present.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const auto& id : missing) {
+    remove(id, aNow, aChanges);
+  }
+}
+
+void
+UpstreamDirectory::readSucceeded(Instant aNow)
+{
+  if (mLastRead && aNow - *mLastRead > kOutageGap) {
+    mOutageEnded = aNow;
+  }
+  mLastRead = aNow;
+}
+
+void
+UpstreamDirectory::expire(Instant aNow, std::vector<DirectoryChange>& aChanges)
+{
+  for (auto item = mMissingUntil.begin(); item != mMissingUntil.end();) {
+    if (aNow < item->second) {
+      ++item;
+      continue;
+    }
+    mEntries.erase(item->first);
+    aChanges.push_back({ Kind::Vanished, item->first });
+    item = mMissingUntil.erase(item);
+  }
+}
+
+void
+UpstreamDirectory::markLeaving(const std::string& aId)
+{
+  const auto found = mEntries.find(aId);
+  if (found != mEntries.end()) {
+    found->second.leaving = true;
+  }
+}
+
+const UpstreamEntry*
+UpstreamDirectory::find(const std::string& aId) const
+{
+  const auto found = mEntries.find(aId);
+  return found == mEntries.end() ? nullptr : &found->second;
+}
+
+} // namespace savoryrill::serving
--- /dev/null
+++ b/src/serving/placementplanner.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/types/time.h"
+#include "serving/engineledger.h"
+#include "serving/types/placement.h"
+#include "serving/types/servingconfig.h"
+
+namespace savoryrill::serving {
+
+/// Decides which engine of a group loads and unloads what. Answers this load pattern: many
+/// more models than places, a few of them busy and changing, the rest asked for rarely and
+/// at once. A load from the weight store takes longer than most callers wait, and few of
+/// them run at full speed together; a load from an engine's own disk is quick. So:
+///
+/// - a model that callers wait for is loaded where it is ready first, which is usually
+///   where a copy is on disk; the least useful model there makes way;
+/// - the weight store is kept busy, at its full-speed number of loads, with models that
+///   have no copy anywhere, those with waiting callers first;
+/// - busy models get further copies only while requests in progress call for them;
+/// - adapters are spread over the copies of their model.
+///
+/// Not thread safe; no I/O.
+class PlacementPlanner
+{
+public:
+  struct Options
+  {
+    /// Loads from the weight store that run at full speed together.
+    std::uint32_t fullSpeedLoads = 4;
+    /// Window in which loads from the weight store are counted against their rate.
+    Duration rateWindow = 5s;
+    /// Share of an engine's batch above which a busy model gets another copy.
+    double batchShareForCopy = 0.3;
+    /// A model is kept at least this long after its load.
+    Duration leastStay = 1500ms;
+    /// Time without requests after which a model counts as idle.
+    Duration idleAfter = 10s;
+    /// Copies kept of a model with recent requests, so that one engine may fail.
+    std::uint32_t copiesOfBusy = 2;
+    /// Demand of a host that has not reported for this long is dropped.
+    Duration demandLife = 3s;
+  };
+
+  explicit PlacementPlanner(Options aOptions, Instant aNow);
+
+  /// Takes the limits and models of the group. Engines stay known.
+  void setProfile(const EngineProfile& aProfile);
+
+  /// Takes an engine's entry of the platform's list.
+  void updateEngine(const UpstreamEntry& aEntry, Instant aNow);
+  void removeEngine(const std::string& aId);
+  std::vector<std::string> engineIds() const;
+
+  /// Takes the demand of a host, in place of its earlier one.
+  void reportDemand(const std::string& aHost,
+                    const std::vector<DemandItem>& aItems,
+                    Instant aNow);
+
+  /// Orders to send now; each counts as sent.
+  std::vector<PlacementOrder> plan(Instant aNow);
+  void orderDone(const std::string& aUpstream, OrderOutcome aOutcome, Instant aNow);
+
+  /// Engines whose report should be read now; each counts as asked.
+  std::vector<std::string> reportsWanted(Instant aNow);
+  void reportRead(const std::string& aUpstream,
+                  const EngineReport& aReport,
+                  Instant aSent,
+                  Instant aNow);
+  void reportFailed(const std::string& aUpstream, Instant aNow);
+
+  /// What an engine holds, for the hosts that send it requests.
+  std::vector<ReplicaView> view(const std::string& aUpstream, Instant aNow) const;
+
+  /// Models that callers wait for, as of the last plan.
+  std::vector<std::string> wantedModels() const;
+
+  /// Expected time until a model is ready somewhere, for callers that wait for it; zero
+  /// if it is ready. Nothing if no engine can hold it.
+  std::optional<Duration> timeUntilReady(const std::string& aModel, Instant aNow) const;
+
+private:
+  struct Demand
+  {
+    std::uint32_t waiting = 0;
+    std::uint32_t inFlight = 0;
+    std::uint32_t priority = 0;
+    std::optional<Instant> deadline;
+  };
+  struct HostDemand
+  {
+    std::vector<DemandItem> items;
+    Instant at{};
+  };
+  struct Place
+  {
+    EngineLedger* engine = nullptr;
+    std::string victim; // empty: there is room
+    Duration readyIn{};
+    double cost = 0;
+  };
+
+  Demand demandOf(const ModelKey& aKey) const;
+  void collectDemand(Instant aNow);
+  std::uint32_t readyCopies(const std::string& aModel) const;
+  std::uint32_t heldCopies(const std::string& aModel) const;
+  bool copyAnywhere(const std::string& aModel) const;
+  std::uint32_t storeLoads() const;
+  bool storeLoadAllowed(Instant aNow);
+  std::optional<double> costOfRemoving(const EngineLedger& aEngine,
+                                       const std::string& aModel,
+                                       Instant aNow) const;
+  std::optional<Place> placeAt(EngineLedger& aEngine,
+                               const std::string& aModel,
+                               Instant aNow) const;
+  std::optional<Place> bestPlace(const std::string& aModel, bool aFromStore, Instant aNow);
+  void occupy(const Place& aPlace,
+              const std::string& aModel,
+              Instant aNow,
+              std::vector<PlacementOrder>& aOrders);
+  void send(EngineLedger& aEngine,
+            OrderKind aKind,
+            const ModelKey& aModel,
+            Instant aNow,
+            std::vector<PlacementOrder>& aOrders);
+  void repeatUnknown(Instant aNow, std::vector<PlacementOrder>& aOrders);
+  void continueSwaps(Instant aNow, std::vector<PlacementOrder>& aOrders);
+  void placeAdapters(Instant aNow, std::vector<PlacementOrder>& aOrders);
+  void placeWanted(Instant aNow, std::vector<PlacementOrder>& aOrders);
+  void addCopies(Instant aNow, std::vector<PlacementOrder>& aOrders);
+  void restoreFromDisk(Instant aNow, std::vector<PlacementOrder>& aOrders);
+  void copyFromStore(Instant aNow, std::vector<PlacementOrder>& aOrders);
+
+  Options mOptions;
+  Instant mStarted;
+  EngineProfile mProfile;
+  std::map<std::string, EngineLedger> mEngines;
+  std::map<std::string, HostDemand> mHosts;
+  std::map<ModelKey, Demand> mDemand;
+  std::map<std::string, Instant> mLastRequest;
+  std::map<ModelKey, Instant> mLastAdapterRequest;
+  std::map<std::string, std::string> mSwaps; // engine to the model that gets the place
+  std::deque<Instant> mStoreLoadStarts;
+};
+
+} // namespace savoryrill::serving
--- /dev/null
+++ b/src/serving/routetable.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "serving/types/servingconfig.h"
+
+namespace savoryrill::serving {
+
+/// Finds the route of a request: exact host name, longest prefix that begins the path.
+/// Immutable, so a request keeps the table it was matched with. Thread safe.
+class RouteTable
+{
+public:
+  /// Preconditions: each route has a share; groups of shares may be unknown.
+  static std::shared_ptr<const RouteTable> create(ServingConfig aConfig);
+
+  /// The route, or `nullptr`. `aHost` may carry a port; `aTarget` may carry a query.
+  const Route* find(std::string_view aHost, std::string_view aTarget) const;
+
+  /// Chooses a group of the route by weight; `aRandom` is uniform in [0, 1).
+  static const std::string& chooseGroup(const Route& aRoute, double aRandom);
+
+  const ServingConfig& config() const { return mConfig; }
+
+private:
+  explicit RouteTable(ServingConfig aConfig);
+
+  ServingConfig mConfig;
+  // Longest prefixes first.
+  std::map<std::string, std::vector<const Route*>, std::less<>> mByHost;
+};
+
+} // namespace savoryrill::serving
--- /dev/null
+++ b/src/serving/types/call.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/types/enumnames.h"
+#include "base/types/time.h"
+#include "serving/types/servingconfig.h"
+#include "serving/types/upstreamentry.h"
+
+namespace savoryrill::serving {
+
+/// What a caller said about a request, apart from its body.
+struct CallDetails
+{
+  std::string id; // unique for each request of a caller
+  std::optional<Duration> deadline;
+  ModelKey model; // empty for plain services
+  std::uint32_t promptTokens = 0;
+  std::uint32_t outputTokens = 0; // most that may be generated
+  std::string sharedPrefix;       // names the prompt parts that other requests share
+  std::string resumeAfter;        // last event that the caller has, empty: from the start
+};
+
+/// Why a request ended without an upstream's response.
+enum class RefusalReason
+{
+  NoConfiguration,
+  NoRoute,
+  BadRequest,
+  NoUpstream,      // no upstream of the group can take it in time
+  ModelNotInTime,  // its model cannot be loaded before the deadline
+  QueueFull,
+  DeadlinePassed,  // it waited until the deadline or the route's timeout
+  Stopping,
+  OutcomeUnknown,  // it was sent and may have run
+  UpstreamFailed   // the upstream's response was unusable
+};
+
+} // namespace savoryrill::serving
+
+namespace savoryrill {
+
+template<>
+struct EnumNames<serving::RefusalReason>
+{
+  static constexpr EnumTable<serving::RefusalReason, 10> kTable{ {
+    { serving::RefusalReason::NoConfiguration, "no-configuration" },
+    { serving::RefusalReason::NoRoute, "no-route" },
+    { serving::RefusalReason::BadRequest, "bad-request" },
+    { serving::RefusalReason::NoUpstream, "no-upstream" },
+    { serving::RefusalReason::ModelNotInTime, "model-not-in-time" },
+    { serving::RefusalReason::QueueFull, "queue-full" },
+    { serving::RefusalReason::DeadlinePassed, "deadline-passed" },
+    { serving::RefusalReason::Stopping, "stopping" },
+    { serving::RefusalReason::OutcomeUnknown, "outcome-unknown" },
+    { serving::RefusalReason::UpstreamFailed, "upstream-failed" },
+  } };
+};
+
+} // namespace savoryrill
