Tell heartbeats from counts of orders

Cause: the list's entries and the engines' reports share a field name; in entries it counts heartbeats. Orders carried it as their condition and were refused with 409. Ruled out: engines busy (raw reports show busy=false, count 0). Change: entries carry a heartbeat number, and the count of orders comes from reports only. Test: RecordFormat, Entry_SequenceIsHeartbeatNotOrders.

--- a/src/serving/engineledger.h
+++ b/src/serving/engineledger.h
@@ -31,11 +31,13 @@
 public:
   EngineLedger(const UpstreamEntry& aEntry, const EngineProfile& aProfile);
 
-  /// Takes a report. Reports from before the last accepted order are ignored. `aSent` is
-  /// when the report was asked for, or nothing if it came with the platform's list.
-  void reported(const EngineReport& aReport, std::optional<Instant> aSent, Instant aNow);
+  /// Takes a report that was asked for at `aSent`. Reports from before the last accepted
+  /// order are ignored.
+  void reported(const EngineReport& aReport, Instant aSent, Instant aNow);
 
-  /// Takes the entry of the platform's list.
+  /// Takes the entry of the platform's list, which does not tell how many orders it has
+  /// seen: it shows what is there until a report does, and asks for one where it differs
+  /// from a state that has been quiet for longer than entries lag.
   void listed(const UpstreamEntry& aEntry, Instant aNow);
 
   /// The order to send for a change. Precondition: `mayOrder`.
@@ -124,6 +126,7 @@
   Instant mUnknownSince{};
   Instant mReportSent{};
   Instant mConflictUntil{};
+  Instant mLastChange{};
   int mConflicts = 0;
   std::uint32_t mLoad = 0;
 };
--- a/src/serving/internal/engineledger.cpp
+++ b/src/serving/internal/engineledger.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kReportPeriod = 200ms;
 // A report may describe the engine as it was this long before it was asked for.
 constexpr Duration kReportLag = 500ms;
+// Entries of the platform's list are older than this only while it cannot be reached.
+constexpr Duration kListLag = 4s;
 // Time after which an order without a response is sent again.
 constexpr Duration kRepeatPause = 600ms;
 // Pause after an engine has refused an order since it is busy; doubles up to the limit.
@@ -44,13 +46,28 @@
 EngineLedger::listed(const UpstreamEntry& aEntry, Instant aNow)
 {
   mLeaving = mLeaving || aEntry.leaving;
-  reported(aEntry.engine, std::nullopt, aNow);
+  const auto& report = aEntry.engine;
+  std::map<std::string, std::set<std::string>> models;
+  for (const auto& model : report.models) {
+    models[model.model] = model.adapters;
+  }
+  if (!mSettled && mOrders == 0) {
+    mModels = std::move(models);
+    mInMemory = report.inMemory;
+    mOnDisk = report.onDisk;
+    return;
+  }
+  const bool same = std::ranges::equal(
+    models, mModels, [](const auto& aOne, const auto& aOther) {
+      return aOne.first == aOther.first;
+    });
+  if (!same && !mCall && !mPending && aNow - mLastChange > kListLag) {
+    mSettled = false;
+  }
 }
 
 void
-EngineLedger::reported(const EngineReport& aReport,
-                       std::optional<Instant> aSent,
-                       Instant aNow)
+EngineLedger::reported(const EngineReport& aReport, Instant aSent, Instant aNow)
 {
   if (aReport.ordersAccepted < mOrders) {
     return; // from before the last accepted order
@@ -75,8 +92,7 @@
   }
   const bool advanced = aReport.ordersAccepted > mOrders;
   mOrders = aReport.ordersAccepted;
-  const bool may_be_early =
-    aSent ? mPending && *aSent - kReportLag < mPending->sent : true;
+  const bool may_be_early = mPending && aSent - kReportLag < mPending->sent;
   if (mPending && !advanced && stillOrdering(aReport) &&
       (may_be_early || aReport.ordering.value_or(true))) {
     return;
@@ -99,6 +115,7 @@
 {
   const bool was_settled = mSettled;
   mSettled = true;
+  mLastChange = aNow;
   mPending.reset();
   std::map<std::string, std::set<std::string>> models;
   for (const auto& model : aReport.models) {
@@ -186,6 +203,7 @@
 void
 EngineLedger::applyAccepted(const PlacementOrder& aOrder, bool aDone, Instant aNow)
 {
+  mLastChange = aNow;
   const auto& key = aOrder.model;
   if (!key.adapter.empty()) {
     if (aOrder.kind == OrderKind::Load) {
--- a/src/serving/internal/upstreamdirectory.cpp
+++ b/src/serving/internal/upstreamdirectory.cpp
@@ -38,8 +38,9 @@
     aChanges.push_back({ Kind::Leaving, id });
   }
   aEntry.leaving = aEntry.leaving || found->second.leaving;
-  if (aEntry.engine.ordersAccepted < found->second.engine.ordersAccepted) {
-    aEntry.engine = std::move(found->second.engine); // a late entry of this incarnation
+  if (aEntry.heartbeat < found->second.heartbeat) {
+    found->second.leaving = aEntry.leaving;
+    return; // a late entry of this incarnation
   }
   found->second = std::move(aEntry);
 }
--- a/src/serving/types/upstreamentry.h
+++ b/src/serving/types/upstreamentry.h
@@ -56,7 +56,8 @@
   std::uint32_t concurrency = 1;
   bool leaving = false;
   Duration leavesIn = Duration::zero(); // known only for upstreams reclaimed at short notice
-  EngineReport engine;                  // meaningful for engines
+  std::uint64_t heartbeat = 0; // grows with each entry of this incarnation
+  EngineReport engine;         // of engines, without the count of orders
 };
 
 } // namespace savoryrill::serving
