--- a/src/gateway/internal/callboard.cpp
+++ b/src/gateway/internal/callboard.cpp
@@ -66,6 +66,13 @@
                  RefusalReason::NoConfiguration);
     return;
   }
+  if (mRefusing) {
+    refuseAtOnce(aConnection,
+                 details ? details.value().id : "",
+                 aRequest.target,
+                 RefusalReason::Stopping);
+    return;
+  }
   const auto* host = link::findHeader(aRequest.headers, "host");
   const auto* route =
     host == nullptr ? nullptr : mRoutes->find(*host, aRequest.target);
--- a/src/gateway/internal/callboard.h
+++ b/src/gateway/internal/callboard.h
@@ -39,6 +39,8 @@
   void setHosts(std::uint32_t aHosts);
   /// Responses end their connections from now on.
   void stop() { mStopping = true; }
+  /// Requests that arrive from now on are refused as not run.
+  void refuseNew() { mRefusing = true; }
 
   /// Tries to send waiting requests, the most urgent and oldest first.
   void retryWaiting();
@@ -85,6 +87,7 @@
   std::function<void()> mOnDemand;
   std::uint32_t mHosts = 1;
   bool mStopping = false;
+  bool mRefusing = false;
   bool mRetryPosted = false;
   bool mNewDemand = false;
 };
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -336,6 +336,10 @@
   const Duration since = mDependencies.loop.now() - *mDrainStarted;
   const bool balanced = since >= std::min(kBalancerTime, mSettings.drainLimit / 2);
   if (balanced) {
+    // Callers that still come are better off elsewhere: what is taken from now on might
+    // not end before the drain limit.
+    mCallers->stop();
+    mCalls.refuseNew();
     mCallers->closeIdle();
   }
   const bool finished = balanced && mCalls.active() == 0;
--- a/src/serving/engineledger.h
+++ b/src/serving/engineledger.h
@@ -125,9 +125,7 @@
   std::optional<PlacementOrder> mUnknown;
   Instant mUnknownSince{};
   Instant mReportSent{};
-  Instant mConflictUntil{};
   Instant mLastChange{};
-  int mConflicts = 0;
   std::uint32_t mLoad = 0;
 };
 
--- a/src/serving/internal/engineledger.cpp
+++ b/src/serving/internal/engineledger.cpp
@@ -16,13 +16,12 @@
 constexpr Duration kListLag = 4s;
 // Time after which an order without a response is sent again.
 constexpr Duration kRepeatPause = 600ms;
-// Pause after an engine has refused an order since it is busy; doubles up to the limit.
-constexpr Duration kConflictPause = 100ms;
-constexpr int kMostConflictDoublings = 3;
-// Conflicts in a row after which the count of orders is read again.
-constexpr int kConflictsBeforeReport = 2;
-// Unloads end within this time if nothing runs.
-constexpr Duration kUnloadTime = 150ms;
+// Longest pause between two reports of an engine that stays busy.
+constexpr Duration kLongestReportPeriod = 600ms;
+// Unloads end within this time if nothing runs, and rarely earlier than the second one
+// if requests are running.
+constexpr Duration kIdleUnloadTime = 60ms;
+constexpr Duration kBusyUnloadTime = 400ms;
 
 } // namespace
 
@@ -114,8 +113,12 @@
 EngineLedger::settle(const EngineReport& aReport, Instant aNow)
 {
   const bool was_settled = mSettled;
-  mSettled = true;
-  mLastChange = aNow;
+  // An order that a predecessor gave may still be in progress; what it will add or
+  // remove is known only when it is over.
+  mSettled = !aReport.ordering.value_or(false);
+  if (mSettled) {
+    mLastChange = aNow;
+  }
   mPending.reset();
   std::map<std::string, std::set<std::string>> models;
   for (const auto& model : aReport.models) {
@@ -169,7 +172,6 @@
     case OrderOutcome::Accepted:
     case OrderOutcome::Done:
       mUnknown.reset();
-      mConflicts = 0;
       ++mOrders;
       applyAccepted(order, aOutcome == OrderOutcome::Done, mCallSent);
       break;
@@ -178,13 +180,8 @@
       mSettled = false; // the own picture was wrong
       break;
     case OrderOutcome::Conflict:
-      mConflicts = std::min(mConflicts + 1, kMostConflictDoublings);
-      mConflictUntil = aNow + kConflictPause * (1 << (mConflicts - 1));
-      if (repeated || mConflicts >= kConflictsBeforeReport) {
-        // The count has moved on: only a report tells what has been carried out.
-        mReportSent = Instant{};
-        mSettled = mSettled && !repeated;
-      }
+      // Busy, or the count has moved on: a report tells when and what may be ordered.
+      mSettled = false;
       break;
     case OrderOutcome::Rejected:
     case OrderOutcome::WrongUpstream:
@@ -217,7 +214,8 @@
     }
     return;
   }
-  Pending pending{ aOrder, sourceOf(key.model), aNow, aNow + kUnloadTime };
+  const Duration unload_time = mLoad == 0 ? kIdleUnloadTime : kBusyUnloadTime;
+  Pending pending{ aOrder, sourceOf(key.model), aNow, aNow + unload_time };
   if (aOrder.kind == OrderKind::Load) {
     pending.expectedEnd = aNow + loadTime(key.model);
   } else {
@@ -230,10 +228,11 @@
 bool
 EngineLedger::mayOrderModel(Instant aNow) const
 {
-  // An unload is followed by the next order without waiting for a report: the engine
-  // refuses it while the unload is in progress.
-  const bool free = !mPending || mPending->order.kind == OrderKind::Unload;
-  return mayOrder() && free && aNow >= mConflictUntil;
+  // An unload that should be over is followed by the next order without a report: the
+  // engine refuses the order if the unload is still in progress.
+  const bool free = !mPending || (mPending->order.kind == OrderKind::Unload &&
+                                  aNow >= mPending->expectedEnd);
+  return mayOrder() && free;
 }
 
 const PlacementOrder*
@@ -250,22 +249,22 @@
   if (mCall || mLeaving || aNow - mReportSent < kReportPeriod) {
     return false;
   }
-  if (!mSettled || mUnknown || mConflicts >= kConflictsBeforeReport) {
-    return true;
-  }
-  if (!mPending || mPending->order.kind != OrderKind::Load ||
-      aNow < mPending->expectedEnd) {
-    return false;
+  // An engine that stays busy is asked less and less often.
+  const auto pause_since = [&](Instant aStart) {
+    return std::min(kLongestReportPeriod, (aNow - aStart) / 4);
+  };
+  if (!mSettled || mUnknown) {
+    return aNow - mReportSent >= pause_since(mLastChange);
   }
-  // Loads that take longer than expected are asked for less and less often.
-  return aNow - mReportSent >= (aNow - mPending->expectedEnd) / 4;
+  return mPending && mPending->order.kind == OrderKind::Load &&
+         aNow >= mPending->expectedEnd &&
+         aNow - mReportSent >= pause_since(mPending->expectedEnd);
 }
 
 void
 EngineLedger::reportRequested(Instant aNow)
 {
   mReportSent = aNow;
-  mConflicts = 0;
 }
 
 bool
--- a/src/serving/internal/placementplanner.cpp
+++ b/src/serving/internal/placementplanner.cpp
@@ -303,12 +303,13 @@
     }
     auto& engine = found->second;
     if (engine.mayOrderModel(aNow)) {
-      if (engine.fits(swap->second)) {
-        send(engine, OrderKind::Load, { swap->second, "" }, aNow, aOrders);
+      if (!engine.fits(swap->second)) {
+        // The unload has had no effect, and the place is chosen anew.
+        swap = mSwaps.erase(swap);
+        continue;
       }
-      // Without room the unload has had no effect, and the place is chosen anew.
-      swap = mSwaps.erase(swap);
-      continue;
+      // Kept until the load is accepted, so that a refused one is ordered again.
+      send(engine, OrderKind::Load, { swap->second, "" }, aNow, aOrders);
     }
     ++swap;
   }
