Answer waiting calls before a drain ends; read the configuration when the store returns

Ruled out: the callers' deadlines; the order of versions. Change: at the end of a drain each request gets the response that is true for it; a read that succeeds after failures makes the configuration be read at once; its wait is 2.5 s. Tests: Gateway DrainWhileRequestWaits, DrainLimitPassesWhileUpstreamWorks.

--- a/src/gateway/internal/call.cpp
+++ b/src/gateway/internal/call.cpp
@@ -100,8 +100,7 @@
     }
   });
   mTimer = mContext.loop.after(mDue - mArrived + kResponseGrace, [this] {
-    const auto self = shared_from_this();
-    timedOut();
+    endNow(RefusalReason::DeadlinePassed);
   });
   if (groupProfile() == nullptr) {
     refuseNow(RefusalReason::NoUpstream);
@@ -504,21 +503,30 @@
 }
 
 void
-Call::timedOut()
+Call::endNow(RefusalReason aReason)
 {
+  const auto self = shared_from_this();
   switch (mState) {
     case State::Waiting:
-      refuseNow(RefusalReason::DeadlinePassed);
+      if (mHeadPassed) {
+        cut(nameOf(aReason));
+      } else {
+        refuseNow(aReason);
+      }
       break;
     case State::Sent:
       mMayHaveRun = mMayHaveRun || mConnection->requestStarted();
-      noteFailure("no response in time");
+      noteFailure(nameOf(aReason));
       releaseConnection(true);
-      refuseNow(RefusalReason::DeadlinePassed);
+      if (mHeadPassed) {
+        cut(nameOf(aReason));
+      } else {
+        refuseNow(aReason);
+      }
       break;
     case State::Responding:
       releaseConnection(true);
-      cut("timeout of the route");
+      cut(nameOf(aReason));
       break;
     case State::Ended:
       break;
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -78,6 +78,9 @@
   /// Ends it without an upstream, if it waits.
   void refuse(serving::RefusalReason aReason);
 
+  /// Ends it in any state: refused, answered that its outcome is unknown, or cut.
+  void endNow(serving::RefusalReason aReason);
+
   bool waits() const { return mState == State::Waiting; }
   bool ended() const { return mState == State::Ended; }
   const serving::ModelKey& model() const { return mDetails.model; }
@@ -116,7 +119,6 @@
   void refuseNow(serving::RefusalReason aReason);
   void cut(std::string_view aReason);
   void callerLeft();
-  void timedOut();
   void end();
   void logFinished(int aStatus);
   std::int64_t elapsedMs() const;
--- a/src/gateway/internal/callboard.cpp
+++ b/src/gateway/internal/callboard.cpp
@@ -155,6 +155,25 @@
   }
 }
 
+void
+CallBoard::refuseNew()
+{
+  mRefusing = true;
+  const auto waiting = mWaiting;
+  for (const auto& call : waiting) {
+    call->refuse(RefusalReason::Stopping);
+  }
+}
+
+void
+CallBoard::endAll()
+{
+  const auto calls = mCalls;
+  for (const auto& call : calls) {
+    call->endNow(RefusalReason::Stopping);
+  }
+}
+
 void
 CallBoard::placeFreed()
 {
--- a/src/gateway/internal/callboard.h
+++ b/src/gateway/internal/callboard.h
@@ -39,8 +39,10 @@
   void setHosts(std::uint32_t aHosts);
   /// Responses end their connections from now on.
   void stop() { mStopping = true; }
-  /// Requests that arrive from now on are refused as not run.
-  void refuseNew() { mRefusing = true; }
+  /// Requests that arrive from now on, or wait, are refused as not run.
+  void refuseNew();
+  /// Ends all requests with the response that is true for them.
+  void endAll();
 
   /// Tries to send waiting requests, the most urgent and oldest first.
   void retryWaiting();
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -15,8 +15,9 @@
 
 // Waiting requests are looked at when something changes, and at least this often.
 constexpr Duration kTickPeriod = 50ms;
-// The configuration is waited for in one call, which the store holds for this long.
-constexpr Duration kConfigWait = 8s;
+// The configuration is waited for in one call, which the store holds for this long. On a
+// connection that has gone silent a change is seen this much later.
+constexpr Duration kConfigWait = 2500ms;
 constexpr Duration kConfigPause = 50ms;
 // An upstream that leaves gets no new requests after this time and one read.
 constexpr Duration kUpstreamsPause = 800ms;
@@ -95,6 +96,7 @@
   event::Watch mTick;
   std::optional<Instant> mDrainStarted;
   std::function<void()> mDrained;
+  event::Watch mEnd;
 };
 
 Result<void>
@@ -180,6 +182,8 @@
     TableFollower::Handlers{
       [this](const RowSet& aRows) { upstreamsRead(aRows, true); },
       [this](const RowSet& aRows) { upstreamsRead(aRows, false); } });
+  // A waiting read that hangs since an outage would hide changes for its whole wait.
+  mUpstreamFollower->onRegained([this] { mConfigFollower->readNow(); });
   mConfigFollower->start();
   mUpstreamFollower->start();
 }
@@ -342,10 +346,12 @@
     mCalls.refuseNew();
     mCallers->closeIdle();
   }
-  const bool finished = balanced && mCalls.active() == 0;
-  if ((finished || since >= mSettings.drainLimit - kEndMargin) && mDrained) {
-    const auto done = std::exchange(mDrained, nullptr);
-    done();
+  if (since >= mSettings.drainLimit - kEndMargin) {
+    mCalls.endAll();
+  }
+  if (balanced && mCalls.active() == 0 && mDrained) {
+    // The last responses are in the kernel's hands by the next tick.
+    mEnd = mDependencies.loop.after(kTickPeriod, std::exchange(mDrained, nullptr));
   }
 }
 
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -22,7 +22,10 @@
 void
 TableFollower::readWhole()
 {
-  mStore.readTable(mOptions.table, [this](Result<RowSet> aRows) {
+  mStore.readTable(mOptions.table, [this, call = ++mCall](Result<RowSet> aRows) {
+    if (call != mCall) {
+      return;
+    }
     if (!aRows) {
       noteFailure(aRows.error());
       readLater(mOptions.failurePause);
@@ -45,7 +48,13 @@
 TableFollower::readChanges()
 {
   mStore.readChanges(
-    mOptions.table, *mVersion, mOptions.wait, [this](Result<RowSet> aRows) {
+    mOptions.table,
+    *mVersion,
+    mOptions.wait,
+    [this, call = ++mCall](Result<RowSet> aRows) {
+      if (call != mCall) {
+        return;
+      }
       if (!aRows) {
         if (aRows.error().code == ErrorCode::NotFound) {
           // The history is gone, so changes may have been missed.
@@ -67,13 +76,24 @@
 void
 TableFollower::readLater(Duration aPause)
 {
-  mTimer = mLoop.after(aPause, [this] {
-    if (!mNeedsWhole) {
-      readChanges();
-    } else {
-      readWhole();
-    }
-  });
+  mTimer = mLoop.after(aPause, [this] { read(); });
+}
+
+void
+TableFollower::read()
+{
+  if (mNeedsWhole) {
+    readWhole();
+  } else {
+    readChanges();
+  }
+}
+
+void
+TableFollower::readNow()
+{
+  mTimer.reset();
+  read();
 }
 
 void
@@ -84,6 +104,9 @@
                { { "read", mOptions.table },
                  { "after_ms", toMs(mLoop.now() - *mLostSince) } });
     mLostSince.reset();
+    if (mRegained) {
+      mRegained();
+    }
   }
 }
 
--- a/src/gateway/internal/storefollower.h
+++ b/src/gateway/internal/storefollower.h
@@ -42,10 +42,18 @@
 
   void start() { readWhole(); }
 
+  /// Reads at once, without waiting for a call under way: it may hang since an outage of
+  /// the store that another reader has seen end.
+  void readNow();
+
+  /// Runs when a read succeeds after others have failed.
+  void onRegained(std::function<void()> aCallback) { mRegained = std::move(aCallback); }
+
 private:
   void readWhole();
   void readChanges();
   void readLater(Duration aPause);
+  void read();
   void noteSuccess();
   void noteFailure(const Error& aError);
 
@@ -57,6 +65,8 @@
   Handlers mHandlers;
   std::optional<std::uint64_t> mVersion;
   bool mNeedsWhole = true;
+  std::uint64_t mCall = 0; // results of earlier calls are ignored
+  std::function<void()> mRegained;
   std::optional<Instant> mLostSince;
   event::Watch mTimer;
 };
