--- a/src/base/eventlog.h
+++ b/src/base/eventlog.h
@@ -60,9 +60,9 @@
   std::vector<EventField> fields;
 };
 
-/// Writes numbered events as JSON lines, through log4cplus or a bounded writer, and keeps the latest in memory,
-/// from which `savoryrill explain` reads. Not thread safe: one per process, used by its
-/// loop.
+/// Writes numbered events as JSON lines, through log4cplus or a bounded writer, and keeps
+/// the latest in memory, from which `savoryrill explain` reads. Not thread safe: one per
+/// process, used by its loop.
 class EventLog
 {
 public:
--- a/src/base/internal/linewriter.cpp
+++ b/src/base/internal/linewriter.cpp
@@ -36,8 +36,8 @@
 {
   const std::int64_t now = steadyMs();
   const double rate = mLimits.bytesPerSecond;
-  mAllowance = std::min(
-    rate, mAllowance + rate * static_cast<double>(now - mLastRefillMs) / 1000.0);
+  mAllowance =
+    std::min(rate, mAllowance + rate * static_cast<double>(now - mLastRefillMs) / 1000.0);
   mLastRefillMs = now;
   const auto size = static_cast<double>(aLine.size() + 1);
   const bool room = mBuffer.size() - mWritten + aLine.size() < mLimits.bufferBytes;
--- a/src/base/linewriter.h
+++ b/src/base/linewriter.h
@@ -23,8 +23,8 @@
   /// Does not own `aFd`.
   LineWriter(int aFd, Limits aLimits);
 
-  /// Takes a line without its end; false if it was dropped. Lines that must not be lost to
-  /// the rate, such as failures, are bounded by the buffer only.
+  /// Takes a line without its end; false if it was dropped. Lines that must not be lost
+  /// to the rate, such as failures, are bounded by the buffer only.
   bool write(std::string_view aLine, bool aIgnoresRate);
 
   /// Hands kept bytes to the descriptor as far as it takes them at once.
--- a/src/config/gatewaysettings.h
+++ b/src/config/gatewaysettings.h
@@ -17,9 +17,9 @@
 {
   std::string host;
   std::string dataCentre;
-  SocketAddress callerAddress;    // listens for callers
-  SocketAddress readinessAddress; // listens for the balancer
-  SocketAddress peerAddress;      // listens for other gateways, ZeroMQ
+  SocketAddress callerAddress;                 // listens for callers
+  SocketAddress readinessAddress;              // listens for the balancer
+  SocketAddress peerAddress;                   // listens for other gateways, ZeroMQ
   std::optional<SocketAddress> metricsAddress; // listens for the metrics collector
   SocketAddress storeAddress;                  // the platform's table
   Severity logLevel = Severity::Info;
--- /dev/null
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -0,0 +1,62 @@
+#include <CppUTest/TestHarness.h>
+
+#include "config/gatewaysettings.h"
+
+using namespace savoryrill;
+
+TEST_GROUP(GatewaySettings)
+{
+  const std::string whole = R"({
+    // a host of the clock house
+    "host": "edge-xela-1", "data_centre": "xela",
+    "caller_address": "127.0.0.1:8000", "readiness_address": "127.0.0.1:8001",
+    "peer_address": "127.0.0.1:8002", "metrics_address": "127.0.0.1:8003",
+    "store_address": "127.0.0.1:8004", "drain_limit_ms": 8000, "retry_share": 0.2
+  })";
+
+  static bool mentions(const config::CheckedGatewaySettings& aChecked,
+                       const std::string& aKey)
+  {
+    for (const auto& finding : aChecked.findings) {
+      if (finding.key == aKey || finding.message.find(aKey) != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+TEST(GatewaySettings, WholeFile_ReadWithoutFindings)
+{
+  const auto checked = config::checkGatewaySettings("s", whole);
+  LONGS_EQUAL(0, checked.findings.size());
+  STRCMP_EQUAL("edge-xela-1", checked.settings.host.c_str());
+  LONGS_EQUAL(8003, checked.settings.metricsAddress->port);
+  CHECK_TRUE(checked.settings.drainLimit == 8s);
+}
+
+TEST(GatewaySettings, RequiredKeysMissing_AllAreReported)
+{
+  const auto checked = config::checkGatewaySettings("s", "{}");
+  CHECK_TRUE(config::hasErrors(checked.findings));
+  for (const char* key : { "host", "data_centre", "caller_address", "store_address" }) {
+    CHECK_TRUE(mentions(checked, key));
+  }
+}
+
+TEST(GatewaySettings, AddressTwiceOrMalformed_Reported)
+{
+  auto text = whole;
+  text.replace(text.find("127.0.0.1:8001"), 14, "127.0.0.1:8000");
+  CHECK_TRUE(config::hasErrors(config::checkGatewaySettings("s", text).findings));
+  text = whole;
+  text.replace(text.find("127.0.0.1:8001"), 14, "localhost:http");
+  CHECK_TRUE(config::hasErrors(config::checkGatewaySettings("s", text).findings));
+}
+
+TEST(GatewaySettings, FileIsMissing_NotFound)
+{
+  const auto read = config::readGatewaySettings("/nonexistent/settings.jsonc");
+  CHECK_FALSE(read.has_value());
+  CHECK_TRUE(read.error().code == ErrorCode::NotFound);
+}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,10 +8,10 @@
 #include "base/eventlog.h"
 #include "base/metrics.h"
 #include "base/result.h"
+#include "config/gatewaysettings.h"
 #include "event/loop.h"
 #include "gateway/iprotocol.h"
 #include "gateway/irowstore.h"
-#include "config/gatewaysettings.h"
 
 namespace savoryrill::gateway {
 
--- a/src/gateway/internal/call.cpp
+++ b/src/gateway/internal/call.cpp
@@ -37,6 +37,13 @@
   return series.append("{").append(aLabel).append("=\"").append(aValue).append("\"}");
 }
 
+bool
+isEventStream(const link::ResponseHead& aHead)
+{
+  const auto* type = link::findHeader(aHead.headers, "content-type");
+  return type != nullptr && type->starts_with("text/event-stream");
+}
+
 } // namespace
 
 Call::Call(CallContext& aContext,
@@ -57,8 +64,8 @@
   , mGroup(std::move(aGroup))
   , mArrived(aContext.loop.now())
 {
-  const Duration limit = mDetails.deadline ? std::min(*mDetails.deadline, mRoute->timeout)
-                                           : mRoute->timeout;
+  const Duration limit =
+    mDetails.deadline ? std::min(*mDetails.deadline, mRoute->timeout) : mRoute->timeout;
   mDue = mArrived + limit;
 }
 
@@ -99,9 +106,8 @@
       self->callerLeft();
     }
   });
-  mTimer = mContext.loop.after(mDue - mArrived + kResponseGrace, [this] {
-    endNow(RefusalReason::DeadlinePassed);
-  });
+  mTimer = mContext.loop.after(mDue - mArrived + kResponseGrace,
+                               [this] { endNow(RefusalReason::DeadlinePassed); });
   if (groupProfile() == nullptr) {
     refuseNow(RefusalReason::NoUpstream);
     return;
@@ -165,9 +171,8 @@
     terms.resumeAfter = mEvents.lastId();
     ++mSends;
     mContext.board.sent(mUpstream, now);
-    mConnection->send(mContext.protocol.writeRequest(mRequest, terms),
-                      mRequest.method == "HEAD",
-                      *this);
+    mConnection->send(
+      mContext.protocol.writeRequest(mRequest, terms), mRequest.method == "HEAD", *this);
     return true;
   }
   return false;
@@ -192,7 +197,8 @@
     refuseNow(RefusalReason::ModelNotInTime);
     return;
   }
-  if (!ready_in && rest < std::min(mDue - mArrived, mRoute->patience) / kUnknownWaitDivisor) {
+  if (!ready_in &&
+      rest < std::min(mDue - mArrived, mRoute->patience) / kUnknownWaitDivisor) {
     refuseNow(RefusalReason::ModelNotInTime);
     return;
   }
@@ -222,8 +228,10 @@
   // A response that names no request, or that nobody vouches for, is not handed on.
   // Nor is a failure in the middle of a stream that is being resumed.
   mDiscarding = mMarks.notRun || mMarks.otherUpstream || !mMarks.signedBody ||
-                mMarks.callId != mDetails.id || (mHeadPassed && !success);
-  if (mDiscarding || mRoute->kind != CallKind::Stream || !success) {
+                mMarks.callId != mDetails.id ||
+                (mHeadPassed && !(success && isEventStream(aHead)));
+  mStreaming = mRoute->kind == CallKind::Stream && success && isEventStream(aHead);
+  if (mDiscarding || !mStreaming) {
     return;
   }
   mContext.metrics.observe("savoryrill_gateway_first_byte_ms",
@@ -256,7 +264,7 @@
     return;
   }
   const auto self = shared_from_this();
-  if (mRoute->kind == CallKind::Stream && mHead.status / 100 == 2) {
+  if (mStreaming) {
     passEvents(aData);
     return;
   }
@@ -449,22 +457,20 @@
                           ? std::nullopt
                           : mContext.board.readyIn(query(), mContext.loop.now());
   const bool known = ready_in && *ready_in > Duration::zero();
-  const auto refusal =
-    refusalFor(aReason, mMayHaveRun, known ? ready_in : std::nullopt);
+  const auto refusal = refusalFor(aReason, mMayHaveRun, known ? ready_in : std::nullopt);
   mContext.metrics.add(
     seriesOf("savoryrill_gateway_refusals_total", "reason", nameOf(aReason)));
-  mContext.log.write(
-    kCallRefused,
-    { { "call", mDetails.id },
-      { "route", mRoute->name },
-      { "model", serving::toString(mDetails.model) },
-      { "reason", nameOf(aReason) },
-      { "status", std::int64_t{ refusal.status } },
-      { "ran", refusal.mayHaveRun ? "unknown" : "no" },
-      { "ready_in_ms", ready_in ? toMs(*ready_in) : -1 },
-      { "sends", std::int64_t{ mSends } },
-      { "config", mRoutes->config().version },
-      { "after_ms", elapsedMs() } });
+  mContext.log.write(kCallRefused,
+                     { { "call", mDetails.id },
+                       { "route", mRoute->name },
+                       { "model", serving::toString(mDetails.model) },
+                       { "reason", nameOf(aReason) },
+                       { "status", std::int64_t{ refusal.status } },
+                       { "ran", refusal.mayHaveRun ? "unknown" : "no" },
+                       { "ready_in_ms", ready_in ? toMs(*ready_in) : -1 },
+                       { "sends", std::int64_t{ mSends } },
+                       { "config", mRoutes->config().version },
+                       { "after_ms", elapsedMs() } });
   mCaller->respond(headOf(refusal, mDetails.id), bodyOf(refusal));
   end();
 }
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -153,6 +153,7 @@
   std::string mCollected;
   bool mHeadPassed = false;
   bool mDiscarding = false;
+  bool mStreaming = false;
   EventStream mEvents;
   std::uint64_t mEventBytes = 0;
 };
--- a/src/gateway/internal/callboard.cpp
+++ b/src/gateway/internal/callboard.cpp
@@ -39,10 +39,9 @@
 {
   mRoutes = std::move(aRoutes);
   const auto& limits = mRoutes->config().limits;
-  mLimits = { limits.maxHeadBytes,
-              limits.maxBodyBytes,
-              limits.receiveTimeout,
-              limits.idleTimeout };
+  mLimits = {
+    limits.maxHeadBytes, limits.maxBodyBytes, limits.receiveTimeout, limits.idleTimeout
+  };
 }
 
 void
@@ -74,8 +73,7 @@
     return;
   }
   const auto* host = link::findHeader(aRequest.headers, "host");
-  const auto* route =
-    host == nullptr ? nullptr : mRoutes->find(*host, aRequest.target);
+  const auto* route = host == nullptr ? nullptr : mRoutes->find(*host, aRequest.target);
   if (route == nullptr) {
     refuseAtOnce(aConnection,
                  details ? details.value().id : "",
@@ -190,9 +188,8 @@
 void
 CallBoard::callEnded(Call& aCall)
 {
-  std::erase_if(mWaiting, [&](const std::shared_ptr<Call>& aItem) {
-    return aItem.get() == &aCall;
-  });
+  std::erase_if(
+    mWaiting, [&](const std::shared_ptr<Call>& aItem) { return aItem.get() == &aCall; });
   const auto call = aCall.shared_from_this();
   mCalls.erase(call);
 }
--- a/src/gateway/internal/eventstream.h
+++ b/src/gateway/internal/eventstream.h
@@ -11,7 +11,8 @@
 class EventStream
 {
 public:
-  /// Takes bytes and returns the whole events that they complete, empty if there are none.
+  /// Takes bytes and returns the whole events that they complete, empty if there are
+  /// none.
   std::string take(std::string_view aData);
 
   /// Drops a partial event, before the stream goes on at another upstream.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -128,20 +128,22 @@
 Result<void>
 GatewayImpl::startServers()
 {
-  BOOST_OUTCOME_TRY(callers,
-                    link::Listener::create(mDependencies.loop,
-                                           mSettings.callerAddress,
-                                           mCalls,
-                                           mSettings.maxConnections));
-  mCallers = std::move(callers);
   BOOST_OUTCOME_TRY(
-    readiness,
-    StatusServer::create(
-      mDependencies.loop, mSettings.readinessAddress, mDependencies.readinessPath, [this] {
-        const auto problem = readinessProblem();
-        return StatusServer::Answer{ problem.empty() ? 200 : 503,
-                                     problem.empty() ? "ready\n" : problem + "\n" };
-      }));
+    callers,
+    link::Listener::create(
+      mDependencies.loop, mSettings.callerAddress, mCalls, mSettings.maxConnections));
+  mCallers = std::move(callers);
+  BOOST_OUTCOME_TRY(readiness,
+                    StatusServer::create(mDependencies.loop,
+                                         mSettings.readinessAddress,
+                                         mDependencies.readinessPath,
+                                         [this] {
+                                           const auto problem = readinessProblem();
+                                           return StatusServer::Answer{
+                                             problem.empty() ? 200 : 503,
+                                             problem.empty() ? "ready\n" : problem + "\n"
+                                           };
+                                         }));
   mReadiness = std::move(readiness);
   if (mSettings.metricsAddress) {
     BOOST_OUTCOME_TRY(
@@ -163,13 +165,13 @@
   config.wait = kConfigWait;
   config.pause = kConfigPause;
   const auto config_read = [this](const RowSet& aRows) { configRead(aRows); };
-  mConfigFollower = std::make_unique<TableFollower>(
-    mDependencies.loop,
-    mDependencies.store,
-    mDependencies.log,
-    mDependencies.metrics,
-    config,
-    TableFollower::Handlers{ config_read, config_read });
+  mConfigFollower =
+    std::make_unique<TableFollower>(mDependencies.loop,
+                                    mDependencies.store,
+                                    mDependencies.log,
+                                    mDependencies.metrics,
+                                    config,
+                                    TableFollower::Handlers{ config_read, config_read });
   TableFollower::Options upstreams;
   upstreams.table = mDependencies.records.upstreamTable();
   upstreams.pause = kUpstreamsPause;
@@ -197,9 +199,9 @@
     }
     auto config = mDependencies.records.readConfig(row.value);
     if (!config) {
-      mDependencies.log.write(kConfigUnusable,
-                              { { "row_version", row.version },
-                                { "reason", config.error().message } });
+      mDependencies.log.write(
+        kConfigUnusable,
+        { { "row_version", row.version }, { "reason", config.error().message } });
       continue;
     }
     if (config.value().version <= mConfigVersion) {
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -228,21 +228,21 @@
   const auto row = mLeadership.rowFor(aStep, term);
   const auto base = mLeadership.base();
   mLeadership.sent(aStep, row.term, mDependencies.loop.now());
-  mDependencies.store.writeRow(
-    kLeaderTable,
-    { kLeaderKey, encodeLeaderRow(row), 0, false },
-    base,
-    [this, aStep, row](Result<std::uint64_t> aVersion) {
-      const auto now = mDependencies.loop.now();
-      if (aVersion) {
-        mLeadership.written(aStep, row, aVersion.value(), now);
-      } else if (aVersion.error().code == ErrorCode::Unavailable) {
-        mLeadership.failed(now);
-      } else {
-        mLeadership.uncertain(now);
-      }
-      rowChanged();
-    });
+  mDependencies.store.writeRow(kLeaderTable,
+                               { kLeaderKey, encodeLeaderRow(row), 0, false },
+                               base,
+                               [this, aStep, row](Result<std::uint64_t> aVersion) {
+                                 const auto now = mDependencies.loop.now();
+                                 if (aVersion) {
+                                   mLeadership.written(aStep, row, aVersion.value(), now);
+                                 } else if (aVersion.error().code ==
+                                            ErrorCode::Unavailable) {
+                                   mLeadership.failed(now);
+                                 } else {
+                                   mLeadership.uncertain(now);
+                                 }
+                                 rowChanged();
+                               });
 }
 
 void
@@ -283,7 +283,8 @@
 {
   const auto& row = mLeadership.row();
   const std::string endpoint =
-    row && !row->released && !mLeading && row->host != mSettings.host ? row->endpoint : "";
+    row && !row->released && !mLeading && row->host != mSettings.host ? row->endpoint
+                                                                      : "";
   if (endpoint == mConnectedTo) {
     return;
   }
@@ -479,8 +480,8 @@
     std::move(call), [this, aOrder, fencing](Result<link::WholeResponse> aResponse) {
       auto outcome = serving::OrderOutcome::Unknown;
       if (aResponse) {
-        outcome = mDependencies.protocol.readOrderResponse(
-          aOrder, aResponse.value().head.status);
+        outcome =
+          mDependencies.protocol.readOrderResponse(aOrder, aResponse.value().head.status);
       } else if (aResponse.error().code == ErrorCode::Unavailable) {
         outcome = serving::OrderOutcome::Conflict; // not sent; tried again later
       }
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -10,11 +10,11 @@
 
 #include "base/eventlog.h"
 #include "base/metrics.h"
+#include "config/gatewaysettings.h"
 #include "event/loop.h"
 #include "gateway/internal/peercodec.h"
 #include "gateway/iprotocol.h"
 #include "gateway/irowstore.h"
-#include "config/gatewaysettings.h"
 #include "gateway/upstreamboard.h"
 #include "link/callset.h"
 #include "serving/leadership.h"
@@ -50,10 +50,11 @@
   };
 
   /// Fails with Unavailable if the peer address cannot be bound.
-  static Result<std::unique_ptr<LeaderTask>> create(Dependencies aDependencies,
-                                                    const config::GatewaySettings& aSettings,
-                                                    Handlers aHandlers,
-                                                    std::uint64_t aSeed);
+  static Result<std::unique_ptr<LeaderTask>> create(
+    Dependencies aDependencies,
+    const config::GatewaySettings& aSettings,
+    Handlers aHandlers,
+    std::uint64_t aSeed);
   ~LeaderTask() override;
 
   /// Takes the groups of a configuration.
--- a/src/gateway/internal/peercodec.h
+++ b/src/gateway/internal/peercodec.h
@@ -17,8 +17,8 @@
 {
   std::string host;
   std::uint64_t fencing = 0;
-  std::uint32_t hosts = 0;               // that exchange demand, with its own
-  std::map<std::string, Duration> waits; // by model
+  std::uint32_t hosts = 0;                    // that exchange demand, with its own
+  std::map<std::string, Duration> waits;      // by model
   std::map<std::string, std::uint32_t> loads; // requests in progress, by upstream
   std::uint64_t rowVersion = 0;               // of the leader's row
   bool released = false;                      // it gives no more orders
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -47,30 +47,29 @@
 void
 TableFollower::readChanges()
 {
-  mStore.readChanges(
-    mOptions.table,
-    *mVersion,
-    mOptions.wait,
-    [this, call = ++mCall](Result<RowSet> aRows) {
-      if (call != mCall) {
-        return;
-      }
-      if (!aRows) {
-        if (aRows.error().code == ErrorCode::NotFound) {
-          // The history is gone, so changes may have been missed.
-          mNeedsWhole = true;
-          readLater(Duration::zero());
-          return;
-        }
-        noteFailure(aRows.error());
-        readLater(mOptions.failurePause);
-        return;
-      }
-      noteSuccess();
-      mVersion = std::max(*mVersion, aRows.value().version);
-      mHandlers.changes(aRows.value());
-      readLater(mOptions.pause);
-    });
+  mStore.readChanges(mOptions.table,
+                     *mVersion,
+                     mOptions.wait,
+                     [this, call = ++mCall](Result<RowSet> aRows) {
+                       if (call != mCall) {
+                         return;
+                       }
+                       if (!aRows) {
+                         if (aRows.error().code == ErrorCode::NotFound) {
+                           // The history is gone, so changes may have been missed.
+                           mNeedsWhole = true;
+                           readLater(Duration::zero());
+                           return;
+                         }
+                         noteFailure(aRows.error());
+                         readLater(mOptions.failurePause);
+                         return;
+                       }
+                       noteSuccess();
+                       mVersion = std::max(*mVersion, aRows.value().version);
+                       mHandlers.changes(aRows.value());
+                       readLater(mOptions.pause);
+                     });
 }
 
 void
@@ -100,9 +99,9 @@
 TableFollower::noteSuccess()
 {
   if (mLostSince) {
-    mLog.write(kStoreRegained,
-               { { "read", mOptions.table },
-                 { "after_ms", toMs(mLoop.now() - *mLostSince) } });
+    mLog.write(
+      kStoreRegained,
+      { { "read", mOptions.table }, { "after_ms", toMs(mLoop.now() - *mLostSince) } });
     mLostSince.reset();
     if (mRegained) {
       mRegained();
@@ -117,8 +116,7 @@
                "\"}");
   if (!mLostSince) {
     mLostSince = mLoop.now();
-    mLog.write(kStoreLost,
-               { { "read", mOptions.table }, { "reason", aError.message } });
+    mLog.write(kStoreLost, { { "read", mOptions.table }, { "reason", aError.message } });
   }
 }
 
--- a/src/gateway/internal/upstreamboard.cpp
+++ b/src/gateway/internal/upstreamboard.cpp
@@ -17,7 +17,8 @@
 // service fails 14 in 100 requests at the clock house.
 constexpr double kSuspectShare = 0.35;
 // Requests in progress that an upstream with a kept prefix may have more than others: a
-// shared prefix saves about a quarter of a prompt's reading, that is less than one request.
+// shared prefix saves about a quarter of a prompt's reading, that is less than one
+// request.
 constexpr std::uint32_t kAffinitySlack = 1;
 // Remembered prompt prefixes; the oldest half is dropped above it.
 constexpr std::size_t kMostPrefixes = 4096;
@@ -143,8 +144,8 @@
         prefix->second == id) {
       candidate.cachedPrefixBlocks = 1;
     }
-    const bool suspect = experience != mExperience.end() &&
-                         experience->second.failureShare > kSuspectShare;
+    const bool suspect =
+      experience != mExperience.end() && experience->second.failureShare > kSuspectShare;
     (suspect ? suspects : candidates).push_back(std::move(candidate));
   }
   if (candidates.empty()) {
@@ -167,11 +168,10 @@
 std::optional<Duration>
 UpstreamBoard::readyIn(const Query& aQuery, Instant aNow) const
 {
-  const bool held =
-    std::ranges::any_of(mDirectory.entries(), [&](const auto& aItem) {
-      return aItem.second.group == aQuery.group->name && !aItem.second.leaving &&
-             holds(aItem.second, aQuery.model, aNow);
-    });
+  const bool held = std::ranges::any_of(mDirectory.entries(), [&](const auto& aItem) {
+    return aItem.second.group == aQuery.group->name && !aItem.second.leaving &&
+           holds(aItem.second, aQuery.model, aNow);
+  });
   if (held) {
     return Duration::zero();
   }
--- a/src/gateway/iprotocol.h
+++ b/src/gateway/iprotocol.h
@@ -17,18 +17,18 @@
 /// What is added to a request when it is sent to an upstream.
 struct SendTerms
 {
-  std::string upstream;    // the incarnation that must receive it
-  Duration remaining{};    // time in which the response is useful
+  std::string upstream;      // the incarnation that must receive it
+  Duration remaining{};      // time in which the response is useful
   std::uint32_t urgency = 5; // 0 first
-  std::string resumeAfter; // last event that the caller has, empty: from the start
+  std::string resumeAfter;   // last event that the caller has, empty: from the start
 };
 
 /// What a response head says, beside status and body.
 struct ResponseMarks
 {
-  std::string callId;   // of the request it belongs to, empty: it does not say
-  bool notRun = false;  // the upstream did not run the request
-  bool signedBody = false; // the upstream vouches for status and body
+  std::string callId;         // of the request it belongs to, empty: it does not say
+  bool notRun = false;        // the upstream did not run the request
+  bool signedBody = false;    // the upstream vouches for status and body
   bool otherUpstream = false; // an incarnation other than the one meant has answered
 };
 
--- /dev/null
+++ b/src/gateway/tests/gatewaytest.cpp
@@ -0,0 +1,618 @@
+#include <CppUTest/TestHarness.h>
+
+#include "callprotocol.h"
+#include "controlprotocol.h"
+#include "gateway/gateway.h"
+#include "gateway/tests/memorystore.h"
+#include "recordformat.h"
+#include "testing/scriptedpeer.h"
+
+using namespace savoryrill;
+using testing::headerOf;
+using testing::RawConnection;
+using testing::rawResponse;
+using testing::ScriptedPeer;
+
+namespace {
+
+constexpr Duration kTestLimit = 8s;
+
+constexpr const char* kConfig =
+  R"({"version":3,"routes":[
+  {"name":"safe","hostname":"h","prefix":"/safe/","route_type":"safe","timeout_ms":1500,
+   "target_latency_ms":150,"priority":2,"service":"s","max_attempts":2},
+  {"name":"unsafe","hostname":"h","prefix":"/unsafe/","route_type":"unsafe",
+   "timeout_ms":1500,"target_latency_ms":150,"priority":2,"service":"s","max_attempts":1},
+  {"name":"stream","hostname":"h","prefix":"/stream/","route_type":"streaming",
+   "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"e",
+   "max_attempts":1},
+  {"name":"resumable","hostname":"h","prefix":"/resumable/","route_type":"streaming",
+   "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"e",
+   "max_attempts":2,"resumable":true}],
+  "services":[{"name":"s","max_connections":100},
+  {"name":"e","max_connections":100,"engine":{"slots":8,"weights_mb":200,
+   "adapter_slots":4,"loads_per_s":4,"models":[
+   {"name":"m","weights_mb":90,"load_s":9,"disk_s":2,"warm_s":1},
+   {"name":"n","weights_mb":90,"load_s":9,"disk_s":2,"warm_s":1}]}}],
+  "limits":{"max_header_bytes":8192,"max_body_bytes":10000,"header_timeout_ms":1000,
+   "idle_timeout_ms":5000}})";
+
+std::string
+signedResponse(const std::string& aRequest, int aStatus, const std::string& aBody)
+{
+  return rawResponse(
+    aStatus,
+    "X-Savoryrill-Attempt-Id: " + headerOf(aRequest, "X-Savoryrill-Attempt-Id") +
+      "\r\nX-Savoryrill-Response-Signature: s\r\n",
+    aBody);
+}
+
+std::string
+streamHead(const std::string& aRequest)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+         "X-Savoryrill-Attempt-Id: " +
+         headerOf(aRequest, "X-Savoryrill-Attempt-Id") +
+         "\r\nX-Savoryrill-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string
+chunk(const std::string& aData)
+{
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx", aData.size());
+  return std::string(size.data()) + "\r\n" + aData + "\r\n";
+}
+
+} // namespace
+
+TEST_GROUP(Gateway)
+{
+  std::unique_ptr<event::Loop> loop;
+  std::unique_ptr<EventLog> log;
+  std::unique_ptr<Metrics> metrics;
+  std::unique_ptr<gateway::MemoryStore> store;
+  std::unique_ptr<ScriptedPeer> first;
+  std::unique_ptr<ScriptedPeer> second;
+  std::unique_ptr<gateway::Gateway> gateway;
+  std::unique_ptr<RawConnection> caller;
+  config::GatewaySettings settings;
+  adapter::CallProtocol calls;
+  adapter::ControlProtocol control;
+  adapter::RecordFormat records;
+
+  void setup() override
+  {
+    loop = std::move(event::Loop::create().value());
+    log = EventLog::createInMemory();
+    metrics = std::make_unique<Metrics>();
+    store = std::make_unique<gateway::MemoryStore>(*loop);
+    const auto answer = [](RawConnection& aConnection, const std::string& aRequest) {
+      aConnection.send(signedResponse(aRequest, 200, "done"));
+    };
+    first = std::make_unique<ScriptedPeer>(*loop, answer);
+    second = std::make_unique<ScriptedPeer>(*loop, answer);
+  }
+
+  void teardown() override
+  {
+    caller.reset();
+    gateway.reset();
+    first.reset();
+    second.reset();
+    store.reset();
+    metrics.reset();
+    log.reset();
+    loop.reset();
+  }
+
+  void list(const std::string& aId,
+            const std::string& aGroup,
+            std::uint16_t aPort,
+            const std::string& aMore = "")
+  {
+    store->put(
+      "servers",
+      aId,
+      R"({"service":")" + aGroup + R"(","address":"127.0.0.1:)" + std::to_string(aPort) +
+        R"(","zone":"z","slots":6,"state":"ready","sequence":1,"born":1)" + aMore + "}");
+  }
+
+  void start(bool aWithConfig = true)
+  {
+    if (aWithConfig) {
+      store->put("op", "config", kConfig);
+    }
+    settings.host = "host";
+    settings.dataCentre = "z";
+    settings.callerAddress = { "127.0.0.1", testing::freePort() };
+    settings.readinessAddress = { "127.0.0.1", testing::freePort() };
+    settings.peerAddress = { "127.0.0.1", testing::freePort() };
+    settings.drainLimit = 2s;
+    auto created = gateway::Gateway::create(
+      { *loop, *log, *metrics, calls, control, records, *store, "/readyz", 1 }, settings);
+    gateway = std::move(created.value());
+    if (aWithConfig) {
+      CHECK_TRUE(until([&] { return gateway->ready(); }));
+    }
+    caller = RawConnection::connect(*loop, settings.callerAddress.port);
+  }
+
+  template<typename T>
+  bool until(T aCondition)
+  {
+    const Instant end = loop->now() + kTestLimit;
+    const auto wake = loop->every(5ms, [] {});
+    while (!aCondition() && loop->now() < end) {
+      loop->runOnce(true);
+    }
+    return aCondition();
+  }
+
+  void runFor(Duration aTime)
+  {
+    const Instant end = loop->now() + aTime;
+    until([&] { return loop->now() >= end; });
+  }
+
+  static std::string request(const std::string& aPath, const std::string& aMore = "")
+  {
+    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\nX-Savoryrill-Attempt-Id: id1\r\n" +
+           "X-Savoryrill-Deadline-Ms: 1500\r\n" + aMore + "Content-Length: 4\r\n\r\nbody";
+  }
+
+  bool receives(const std::string& aText)
+  {
+    return until([&] { return caller->received().find(aText) != std::string::npos; });
+  }
+
+  std::size_t runs() const
+  {
+    return first->requests().size() + second->requests().size();
+  }
+
+  const std::string& onlyRequest() const
+  {
+    return first->requests().empty() ? second->requests().at(0) : first->requests().at(0);
+  }
+
+  void bothAnswer(ScriptedPeer::Answer aAnswer)
+  {
+    first->setAnswer(aAnswer);
+    second->setAnswer(aAnswer);
+  }
+
+  void listBoth(const std::string& aGroup, const std::string& aMore = "")
+  {
+    list("u1", aGroup, first->port(), aMore);
+    list("u2", aGroup, second->port(), aMore);
+  }
+};
+
+namespace {
+
+constexpr const char* kHoldsModel =
+  R"(,"models":[{"name":"m","version":1,"adapters":[]}],)"
+  R"("available":{"in_memory":[],"on_disk":["m"]})";
+
+} // namespace
+
+TEST(Gateway, OrdinaryRequest_ForwardedAndAnswered)
+{
+  listBoth("s");
+  start();
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("done"));
+  STRCMP_EQUAL("s",
+               headerOf(caller->received(), "X-Savoryrill-Response-Signature").c_str());
+  LONGS_EQUAL(1, runs());
+  CHECK_TRUE(onlyRequest().ends_with("body"));
+  const int remaining = std::stoi(headerOf(onlyRequest(), "X-Savoryrill-Deadline-Ms"));
+  CHECK_TRUE(remaining > 0 && remaining <= 1500);
+}
+
+// Guards against a host that tells callers that a route does not exist before it knows.
+TEST(Gateway, NoConfiguration_Refused503AndNotReady)
+{
+  start(false);
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("HTTP/1.1 503"));
+  CHECK_TRUE(caller->received().find("Retry-After") != std::string::npos);
+  CHECK_FALSE(gateway->ready());
+}
+
+TEST(Gateway, NoRoute_404)
+{
+  listBoth("s");
+  start();
+  caller->send(request("/other/1"));
+  CHECK_TRUE(receives("HTTP/1.1 404"));
+  LONGS_EQUAL(0, runs());
+}
+
+TEST(Gateway, StoreIsDown_GoesOnWithWhatItKnows)
+{
+  listBoth("s");
+  start();
+  store->down = true;
+  runFor(3s);
+  CHECK_TRUE(gateway->ready());
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("done"));
+}
+
+// Guards against a request that runs twice since its upstream reset the connection.
+TEST(Gateway, NonRepeatableIsReset_502AndSentOnce)
+{
+  listBoth("s");
+  start();
+  bothAnswer([](RawConnection& aConnection, const std::string&) { aConnection.reset(); });
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("HTTP/1.1 502"));
+  runFor(200ms);
+  LONGS_EQUAL(1, runs());
+}
+
+TEST(Gateway, RepeatableIsReset_SentToSecondUpstream)
+{
+  listBoth("s");
+  start();
+  bothAnswer([this](RawConnection& aConnection, const std::string& aRequest) {
+    if (runs() == 1) {
+      aConnection.reset();
+    } else {
+      aConnection.send(signedResponse(aRequest, 200, "second"));
+    }
+  });
+  caller->send(request("/safe/1"));
+  CHECK_TRUE(receives("second"));
+  LONGS_EQUAL(1, first->requests().size());
+  LONGS_EQUAL(1, second->requests().size());
+}
+
+TEST(Gateway, RepeatableFailsTwice_LastFailureIsHandedOn)
+{
+  listBoth("s");
+  start();
+  bothAnswer([](RawConnection& aConnection, const std::string& aRequest) {
+    aConnection.send(signedResponse(aRequest, 500, "broken"));
+  });
+  caller->send(request("/safe/1"));
+  CHECK_TRUE(receives("broken"));
+  CHECK_TRUE(receives("HTTP/1.1 500"));
+  LONGS_EQUAL(2, runs());
+}
+
+// Guards against a refusal that promises 'not run' for a request that has run.
+TEST(Gateway, NonRepeatableNotRun_SentAgainElsewhere)
+{
+  listBoth("s");
+  start();
+  bothAnswer([this](RawConnection& aConnection, const std::string& aRequest) {
+    if (runs() == 1) {
+      aConnection.send(rawResponse(503, "X-Savoryrill-Not-Executed: 1\r\n", ""));
+    } else {
+      aConnection.send(signedResponse(aRequest, 200, "ran"));
+    }
+  });
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("ran"));
+  LONGS_EQUAL(2, runs());
+}
+
+TEST(Gateway, SuccessWithoutSignature_NotHandedOn)
+{
+  listBoth("s");
+  start();
+  bothAnswer([](RawConnection& aConnection, const std::string& aRequest) {
+    aConnection.send(rawResponse(200,
+                                 "X-Savoryrill-Attempt-Id: " +
+                                   headerOf(aRequest, "X-Savoryrill-Attempt-Id") + "\r\n",
+                                 "forged"));
+  });
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("HTTP/1.1 502"));
+  CHECK_TRUE(caller->received().find("forged") == std::string::npos);
+}
+
+TEST(Gateway, AnswerToOtherRequest_NotHandedOn)
+{
+  listBoth("s");
+  start();
+  bothAnswer([](RawConnection& aConnection, const std::string& aRequest) {
+    aConnection.send(rawResponse(
+      200,
+      "X-Savoryrill-Attempt-Id: other\r\nX-Savoryrill-Response-Signature: s\r\n",
+      "theirs"));
+    aConnection.send(signedResponse(aRequest, 200, "mine"));
+  });
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("mine"));
+  CHECK_TRUE(caller->received().find("theirs") == std::string::npos);
+}
+
+// Guards against a truncated body that reaches the caller as a whole one.
+TEST(Gateway, BodyIsTruncated_502)
+{
+  listBoth("s");
+  start();
+  bothAnswer([](RawConnection& aConnection, const std::string& aRequest) {
+    auto answer = signedResponse(aRequest, 200, "long-body");
+    answer.resize(answer.size() - 4);
+    aConnection.send(answer);
+    aConnection.close();
+  });
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("HTTP/1.1 502"));
+  CHECK_TRUE(caller->received().find("long") == std::string::npos);
+}
+
+TEST(Gateway, AnswerBeforeBodyIsRead_HandedOn)
+{
+  listBoth("s");
+  start();
+  caller->send("POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nX-Savoryrill-Attempt-Id: id1\r\n"
+               "Content-Length: 20000\r\n\r\n");
+  CHECK_TRUE(receives("HTTP/1.1 413"));
+  LONGS_EQUAL(0, runs());
+}
+
+// Guards against upstreams that work for callers who have left.
+TEST(Gateway, CallerLeaves_UpstreamConnectionIsClosed)
+{
+  list("u1", "s", first->port());
+  start();
+  first->setAnswer([](RawConnection&, const std::string&) {});
+  caller->send(request("/safe/1"));
+  CHECK_TRUE(until([&] { return first->requests().size() == 1; }));
+  caller->close();
+  CHECK_TRUE(until([&] { return first->connection(0).ended(); }));
+}
+
+TEST(Gateway, NoAnswerUntilTimeout_504)
+{
+  list("u1", "s", first->port());
+  start();
+  first->setAnswer([](RawConnection&, const std::string&) {});
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("HTTP/1.1 504"));
+  LONGS_EQUAL(1, runs());
+}
+
+TEST(Gateway, UpstreamLeaves_NewRequestsGoElsewhere)
+{
+  listBoth("s");
+  start();
+  list("u1", "s", first->port(), R"(,"state":"draining")");
+  store->put("servers",
+             "u1",
+             R"({"service":"s","address":"127.0.0.1:)" + std::to_string(first->port()) +
+               R"(","zone":"z","slots":6,"state":"draining","sequence":2,"born":1})");
+  runFor(1500ms);
+  for (int at = 0; at < 6; ++at) {
+    caller->clear();
+    caller->send(request("/unsafe/1"));
+    CHECK_TRUE(receives("done"));
+  }
+  LONGS_EQUAL(0, first->requests().size());
+}
+
+TEST(Gateway, RowsOfAnotherWriter_IgnoredOneByOne)
+{
+  store->put("servers", "bad1", "not json");
+  store->put("servers", "bad2", R"({"service":1})");
+  listBoth("s");
+  start();
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(receives("done"));
+  LONGS_EQUAL(2, metrics->counter("savoryrill_gateway_ignored_rows_total"));
+}
+
+TEST(Gateway, NewerConfiguration_InForceAndOlderIgnored)
+{
+  listBoth("s");
+  start();
+  std::string newer = kConfig;
+  newer.replace(newer.find("/unsafe/"), 8, "/booked/");
+  newer.replace(newer.find("\"version\":3"), 11, "\"version\":9");
+  store->put("op", "config", newer);
+  runFor(500ms);
+  caller->send(request("/booked/1"));
+  CHECK_TRUE(receives("done"));
+  store->put("op", "config", kConfig);
+  runFor(500ms);
+  caller->clear();
+  caller->send(request("/booked/1"));
+  CHECK_TRUE(receives("done"));
+}
+
+TEST(Gateway, HistoryIsGone_ReadsWholeAgain)
+{
+  listBoth("s");
+  start();
+  std::string newer = kConfig;
+  newer.replace(newer.find("/unsafe/"), 8, "/booked/");
+  newer.replace(newer.find("\"version\":3"), 11, "\"version\":9");
+  store->put("op", "config", newer);
+  store->forgottenUntil = store->version();
+  runFor(500ms);
+  caller->send(request("/booked/1"));
+  CHECK_TRUE(receives("done"));
+}
+
+TEST(Gateway, Stream_WholeEventsPassAtOnce)
+{
+  list("u1", "e", first->port(), kHoldsModel);
+  start();
+  first->setAnswer([](RawConnection& aConnection, const std::string& aRequest) {
+    if (aRequest.starts_with("POST /stream/")) {
+      aConnection.send(streamHead(aRequest) + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+    }
+  });
+  caller->send(request("/stream/1", "X-Savoryrill-Model: m\r\n"));
+  CHECK_TRUE(receives("data: a"));
+  runFor(50ms);
+  CHECK_TRUE(caller->received().find("id: 2") == std::string::npos);
+}
+
+// Guards against pieces of two runs in one stream, and an end that looks complete.
+TEST(Gateway, StreamBreaksOff_ConnectionIsClosedWithoutEnd)
+{
+  listBoth("e", kHoldsModel);
+  start();
+  bothAnswer([](RawConnection& aConnection, const std::string& aRequest) {
+    if (aRequest.starts_with("POST /stream/")) {
+      aConnection.send(streamHead(aRequest) + chunk("id: 1\ndata: a\n\n"));
+      aConnection.reset();
+    }
+  });
+  caller->send(request("/stream/1", "X-Savoryrill-Model: m\r\n"));
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+  CHECK_TRUE(caller->received().find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST(Gateway, ResumableStreamBreaksOff_GoesOnBehindLastWholeEvent)
+{
+  listBoth("e", kHoldsModel);
+  start();
+  std::vector<std::string> streams;
+  bothAnswer([&streams](RawConnection& aConnection, const std::string& aRequest) {
+    if (!aRequest.starts_with("POST /resumable/")) {
+      return;
+    }
+    streams.push_back(aRequest);
+    if (streams.size() == 1) {
+      aConnection.send(streamHead(aRequest) + chunk("id: 1\ndata: a\n\nid: 2\ndata: cu"));
+      aConnection.reset();
+    } else {
+      aConnection.send(streamHead(aRequest) + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    }
+  });
+  caller->send(request("/resumable/1", "X-Savoryrill-Model: m\r\n"));
+  CHECK_TRUE(receives("0\r\n\r\n"));
+  LONGS_EQUAL(2, streams.size());
+  STRCMP_EQUAL("1", headerOf(streams[1], "Last-Event-Id").c_str());
+  const auto& text = caller->received();
+  CHECK_TRUE(text.find("data: cu") == std::string::npos);
+  CHECK_TRUE(text.find("HTTP/1.1 200") == text.rfind("HTTP/1.1 200")); // one head
+  CHECK_TRUE(text.find("data: b") > text.find("data: a"));
+}
+
+// Guards against a failure of the second upstream that is appended to the stream.
+TEST(Gateway, ResumedStreamFails_CutWithoutTheFailure)
+{
+  listBoth("e", kHoldsModel);
+  start();
+  int streams = 0;
+  bothAnswer([&streams](RawConnection& aConnection, const std::string& aRequest) {
+    if (!aRequest.starts_with("POST /resumable/")) {
+      return;
+    }
+    if (++streams == 1) {
+      aConnection.send(streamHead(aRequest) + chunk("id: 1\ndata: a\n\n"));
+      aConnection.reset();
+    } else {
+      aConnection.send(signedResponse(aRequest, 500, "failure"));
+    }
+  });
+  caller->send(request("/resumable/1", "X-Savoryrill-Model: m\r\n"));
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+  CHECK_TRUE(caller->received().find("failure") == std::string::npos);
+  CHECK_TRUE(caller->received().find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST(Gateway, ModelIsNowhere_RefusedAtOnceAsNotRun)
+{
+  list("u1", "e", first->port(), kHoldsModel);
+  start();
+  runFor(300ms);
+  const Instant sent = loop->now();
+  caller->send(request("/stream/1", "X-Savoryrill-Model: unknown\r\n"));
+  CHECK_TRUE(receives("HTTP/1.1 503"));
+  CHECK_TRUE(loop->now() - sent < 1600ms);
+}
+
+// Guards against a waiting request that is dropped when its process ends.
+TEST(Gateway, DrainWhileRequestWaits_RefusedAsNotRun)
+{
+  list("u1", "e", first->port(), kHoldsModel);
+  start();
+  caller->send(request("/resumable/1", "X-Savoryrill-Model: n\r\n"));
+  runFor(50ms);
+  bool drained = false;
+  gateway->drain([&] { drained = true; });
+  CHECK_FALSE(gateway->ready());
+  CHECK_TRUE(receives("HTTP/1.1 503"));
+  CHECK_TRUE(until([&] { return drained; }));
+}
+
+TEST(Gateway, DrainWhileUpstreamWorks_ResponseIsCompleted)
+{
+  list("u1", "s", first->port());
+  start();
+  RawConnection* upstream = nullptr;
+  std::string received;
+  first->setAnswer([&](RawConnection& aConnection, const std::string& aRequest) {
+    upstream = &aConnection;
+    received = aRequest;
+  });
+  caller->send(request("/unsafe/1"));
+  CHECK_TRUE(until([&] { return upstream != nullptr; }));
+  bool drained = false;
+  gateway->drain([&] { drained = true; });
+  runFor(1100ms);
+  CHECK_FALSE(drained);
+  upstream->send(signedResponse(received, 200, "finished"));
+  CHECK_TRUE(receives("finished"));
+  CHECK_TRUE(caller->received().find("Connection: close") != std::string::npos);
+  CHECK_TRUE(until([&] { return drained; }));
+}
+
+// Guards against a drain that ends with a request that got neither answer nor refusal.
+TEST(Gateway, DrainLimitPassesWhileUpstreamWorks_OutcomeUnknownIsTold)
+{
+  settings.drainLimit = 1s;
+  list("u1", "s", first->port());
+  start();
+  first->setAnswer([](RawConnection&, const std::string&) {});
+  caller->send("POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nX-Savoryrill-Attempt-Id: id1\r\n"
+               "Content-Length: 0\r\n\r\n");
+  CHECK_TRUE(until([&] { return first->requests().size() == 1; }));
+  bool drained = false;
+  gateway->drain([&] { drained = true; });
+  CHECK_TRUE(receives("HTTP/1.1 502"));
+  CHECK_TRUE(until([&] { return drained; }));
+}
+
+TEST(Gateway, ColdModelIsWanted_LoadIsOrderedAndRequestSent)
+{
+  int loads = 0;
+  const auto answer = [&loads](RawConnection& aConnection, const std::string& aRequest) {
+    if (aRequest.starts_with("GET /savoryrill/report")) {
+      const std::string models =
+        loads > 0 ? R"({"name":"m","version":1},{"name":"n","version":1})"
+                  : R"({"name":"m","version":1})";
+      aConnection.send(rawResponse(200,
+                                   "",
+                                   R"({"models":[)" + models +
+                                     R"(],"busy":false,"sequence":)" +
+                                     std::to_string(loads) + "}"));
+    } else if (aRequest.starts_with("POST /savoryrill/order")) {
+      loads += aRequest.find("\"n\"") != std::string::npos ? 1 : 0;
+      aConnection.send(rawResponse(202, "", ""));
+    } else {
+      aConnection.send(signedResponse(aRequest, 200, "generated"));
+    }
+  };
+  bothAnswer(answer);
+  list("u1",
+       "e",
+       first->port(),
+       R"(,"models":[{"name":"m","version":1,"adapters":[]}],)"
+       R"("available":{"in_memory":["n"],"on_disk":["m","n"]})");
+  start();
+  caller->send("POST /resumable/1 HTTP/1.1\r\nHost: h\r\nX-Savoryrill-Attempt-Id: id1\r\n"
+               "X-Savoryrill-Model: n\r\nContent-Length: 0\r\n\r\n");
+  CHECK_TRUE(receives("generated"));
+  LONGS_EQUAL(1, loads);
+}
--- /dev/null
+++ b/src/gateway/tests/memorystore.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "event/loop.h"
+#include "gateway/irowstore.h"
+
+namespace savoryrill::gateway {
+
+/// A row store in memory that can be unreachable, lose its history or answer late.
+class MemoryStore final : public IRowStore
+{
+public:
+  explicit MemoryStore(event::Loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  void put(const std::string& aTable, const std::string& aKey, const std::string& aValue)
+  {
+    mTables[aTable][aKey] = { aKey, aValue, ++mVersion, false };
+  }
+  void remove(const std::string& aTable, const std::string& aKey)
+  {
+    mTables[aTable][aKey] = { aKey, "", ++mVersion, true };
+  }
+
+  void readTable(const std::string& aTable, Completion<RowSet> aDone) override
+  {
+    RowSet set;
+    set.version = mVersion;
+    for (const auto& [key, row] : mTables[aTable]) {
+      if (!row.deleted) {
+        set.rows.push_back(row);
+      }
+    }
+    complete(std::move(aDone), std::move(set));
+  }
+
+  void readRow(const std::string& aTable,
+               const std::string& aKey,
+               Completion<std::optional<StoredRow>> aDone) override
+  {
+    const auto& table = mTables[aTable];
+    const auto found = table.find(aKey);
+    std::optional<StoredRow> row;
+    if (found != table.end() && !found->second.deleted) {
+      row = found->second;
+    }
+    complete(std::move(aDone), std::move(row));
+  }
+
+  void readChanges(const std::string& aTable,
+                   std::uint64_t aAfter,
+                   Duration,
+                   Completion<RowSet> aDone) override
+  {
+    if (aAfter < forgottenUntil) {
+      fail_(std::move(aDone), ErrorCode::NotFound);
+      return;
+    }
+    RowSet set;
+    set.version = mVersion;
+    for (const auto& [key, row] : mTables[aTable]) {
+      if (row.version > aAfter) {
+        set.rows.push_back(row);
+      }
+    }
+    complete(std::move(aDone), std::move(set));
+  }
+
+  void writeRow(const std::string& aTable,
+                const StoredRow& aRow,
+                std::uint64_t aExpected,
+                Completion<std::uint64_t> aDone) override
+  {
+    auto& row = mTables[aTable][aRow.key];
+    if (!down && row.version != aExpected) {
+      fail_(std::move(aDone), ErrorCode::Conflict);
+      return;
+    }
+    if (!down) {
+      row = { aRow.key, aRow.value, ++mVersion, false };
+    }
+    complete(std::move(aDone), std::uint64_t{ mVersion });
+  }
+
+  bool down = false;
+  std::uint64_t forgottenUntil = 0;
+  std::uint64_t version() const { return mVersion; }
+
+private:
+  template<typename T, typename V>
+  void complete(Completion<T> aDone, V aValue)
+  {
+    if (down) {
+      fail_(std::move(aDone), ErrorCode::Unavailable);
+      return;
+    }
+    mLoop.post([done = std::move(aDone), value = std::move(aValue)] { done(value); });
+  }
+  template<typename T>
+  void fail_(Completion<T> aDone, ErrorCode aCode)
+  {
+    mLoop.post([done = std::move(aDone), aCode] { done(fail(aCode, "test")); });
+  }
+
+  event::Loop& mLoop;
+  std::map<std::string, std::map<std::string, StoredRow>> mTables;
+  std::uint64_t mVersion = 0;
+};
+
+} // namespace savoryrill::gateway
--- a/src/gateway/upstreamboard.h
+++ b/src/gateway/upstreamboard.h
@@ -45,9 +45,9 @@
   struct Query
   {
     const serving::UpstreamGroup* group = nullptr;
-    serving::ModelKey model;         // empty for plain services
-    std::string sharedPrefix;        // names prompt parts that other requests share
-    std::set<std::string> excluded;  // upstreams that have failed this request
+    serving::ModelKey model;        // empty for plain services
+    std::string sharedPrefix;       // names prompt parts that other requests share
+    std::set<std::string> excluded; // upstreams that have failed this request
   };
 
   /// Chooses an upstream that can run the request now; nothing if there is none.
@@ -66,7 +66,9 @@
   void succeeded(const std::string& aUpstream);
   void failed(const std::string& aUpstream, Instant aNow);
   /// It answered that it does not run this model, or is full: not chosen for a while.
-  void declined(const std::string& aUpstream, const serving::ModelKey& aModel, Instant aNow);
+  void declined(const std::string& aUpstream,
+                const serving::ModelKey& aModel,
+                Instant aNow);
 
   std::uint32_t inFlight(const std::string& aUpstream) const;
   /// Forgets upstreams that have vanished.
@@ -89,14 +91,16 @@
   bool holds(const serving::UpstreamEntry& aEntry,
              const serving::ModelKey& aModel,
              Instant aNow) const;
-  bool usable(const serving::UpstreamEntry& aEntry, const Query& aQuery, Instant aNow) const;
+  bool usable(const serving::UpstreamEntry& aEntry,
+              const Query& aQuery,
+              Instant aNow) const;
 
   std::string mDataCentre;
   std::mt19937_64 mRandom;
   serving::UpstreamDirectory mDirectory;
   std::map<std::string, Replicas> mReplicas;
   std::map<std::string, Experience> mExperience;
-  std::map<std::string, Instant> mReadyAt; // by model, from the leader
+  std::map<std::string, Instant> mReadyAt;          // by model, from the leader
   std::map<std::string, std::uint32_t> mOtherLoads; // of other hosts, by upstream
   std::map<std::string, std::string> mPrefixUpstream;
   std::optional<Instant> mLeaderHeard;
--- a/src/link/callset.h
+++ b/src/link/callset.h
@@ -25,7 +25,7 @@
   Endpoint endpoint;
   std::string request; // serialised
   Duration timeout = 1s;
-  std::size_t mostOpen = 4;                  // connections of the key
+  std::size_t mostOpen = 4;                     // connections of the key
   std::size_t maxBodyBytes = 4UL * 1024 * 1024; // a larger response fails the call
 };
 
@@ -41,9 +41,9 @@
   CallSet(const CallSet&) = delete;
   CallSet& operator=(const CallSet&) = delete;
 
-  /// Starts a call; `aDone` runs once, in a later iteration of the loop, unless the set is
-  /// destroyed first. A call that exceeds its timeout resets its connection, so that bytes
-  /// held up on the way are dropped.
+  /// Starts a call; `aDone` runs once, in a later iteration of the loop, unless the set
+  /// is destroyed first. A call that exceeds its timeout resets its connection, so that
+  /// bytes held up on the way are dropped.
   void start(WholeCall aCall, Done aDone);
 
   /// Ends all calls with a key; their completions do not run.
@@ -58,7 +58,8 @@
   std::unordered_set<std::shared_ptr<Running>> mRunning;
 };
 
-/// Serialises a request with a JSON body; without a body if `aBody` is empty. Thread safe.
+/// Serialises a request with a JSON body; without a body if `aBody` is empty. Thread
+/// safe.
 std::string
 jsonRequest(std::string_view aMethod,
             std::string_view aTarget,
--- a/src/link/internal/callset.cpp
+++ b/src/link/internal/callset.cpp
@@ -133,8 +133,10 @@
 void
 CallSet::remove(Running* aCall)
 {
-  const auto found = std::ranges::find_if(
-    mRunning, [&](const std::shared_ptr<Running>& aItem) { return aItem.get() == aCall; });
+  const auto found =
+    std::ranges::find_if(mRunning, [&](const std::shared_ptr<Running>& aItem) {
+      return aItem.get() == aCall;
+    });
   if (found != mRunning.end()) {
     mRunning.erase(found);
   }
--- a/src/link/internal/inbound.cpp
+++ b/src/link/internal/inbound.cpp
@@ -374,10 +374,9 @@
   mWatchesReadable = readable;
   mWatch.reset();
   if (writable || readable) {
-    mWatch = mLoop.watch(
-      mSocket.fd(), { readable, writable }, [this](event::Interest aInterest) {
-        ready(aInterest);
-      });
+    mWatch = mLoop.watch(mSocket.fd(),
+                         { readable, writable },
+                         [this](event::Interest aInterest) { ready(aInterest); });
   }
 }
 
@@ -456,9 +455,8 @@
   , mHandler(aHandler)
   , mMaxConnections(aMaxConnections)
 {
-  mWatch = mLoop.watch(mSocket.fd(), { true, false }, [this](event::Interest) {
-    acceptAll();
-  });
+  mWatch =
+    mLoop.watch(mSocket.fd(), { true, false }, [this](event::Interest) { acceptAll(); });
 }
 
 Listener::~Listener()
--- a/src/link/internal/message.cpp
+++ b/src/link/internal/message.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kConnectionHeaders{
-  "connection",          "keep-alive",        "te",      "trailer", "transfer-encoding",
-  "proxy-authorization", "proxy-connection",  "upgrade", "proxy-authenticate"
+  "connection",       "keep-alive",        "te",
+  "trailer",          "transfer-encoding", "proxy-authorization",
+  "proxy-connection", "upgrade",           "proxy-authenticate"
 };
 
 /// True if the comma-separated list contains `aToken`.
@@ -49,9 +50,8 @@
 const std::string*
 findHeader(const HeaderList& aHeaders, std::string_view aName)
 {
-  const auto found = std::ranges::find_if(aHeaders, [&](const Header& aHeader) {
-    return sameHeaderName(aHeader.name, aName);
-  });
+  const auto found = std::ranges::find_if(
+    aHeaders, [&](const Header& aHeader) { return sameHeaderName(aHeader.name, aName); });
   return found == aHeaders.end() ? nullptr : &found->value;
 }
 
--- a/src/link/internal/outbound.cpp
+++ b/src/link/internal/outbound.cpp
@@ -26,7 +26,8 @@
     return Duration::zero();
   }
   std::uint32_t seconds = 0;
-  std::from_chars(value->data() + at + kName.size(), value->data() + value->size(), seconds);
+  std::from_chars(
+    value->data() + at + kName.size(), value->data() + value->size(), seconds);
   return std::chrono::seconds(seconds);
 }
 
@@ -96,8 +97,8 @@
   mHead.status = mParser.status();
   mHead.reason = mParser.reason();
   mHead.headers = mParser.headers();
-  const bool empty = mWithoutBody || mHead.status / 100 == 1 || mHead.status == 204 ||
-                     mHead.status == 304;
+  const bool empty =
+    mWithoutBody || mHead.status / 100 == 1 || mHead.status == 204 || mHead.status == 304;
   if (empty) {
     mHead.framing = Framing::None;
   } else if (mParser.chunked()) {
@@ -307,10 +308,9 @@
   mWatchesWritable = writable;
   mWatch.reset();
   if (writable || readable) {
-    mWatch = mLoop.watch(
-      mSocket.fd(), { readable, writable }, [this](event::Interest aInterest) {
-        ready(aInterest);
-      });
+    mWatch = mLoop.watch(mSocket.fd(),
+                         { readable, writable },
+                         [this](event::Interest aInterest) { ready(aInterest); });
   }
 }
 
--- a/src/link/outbound.h
+++ b/src/link/outbound.h
@@ -114,9 +114,9 @@
   struct Options
   {
     Duration connectTimeout = 400ms;
-    Duration silence = 1500ms;     // without acknowledgement or keep-alive answer
-    Duration longestIdle = 10s;    // of a kept connection
-    Duration idleMargin = 1s;      // closed this long before the peer closes it
+    Duration silence = 1500ms;      // without acknowledgement or keep-alive answer
+    Duration longestIdle = 10s;     // of a kept connection
+    Duration idleMargin = 1s;       // closed this long before the peer closes it
     Duration assumedKeepAlive = 4s; // if the peer does not say how long it keeps one
   };
 
@@ -133,7 +133,8 @@
   /// upstream, so that a successor at the same address never gets an old connection.
   Lease take(const std::string& aKey, const Endpoint& aEndpoint, std::size_t aMostOpen);
 
-  /// Gives a connection back after its exchange; it is closed unless it can be used again.
+  /// Gives a connection back after its exchange; it is closed unless it can be used
+  /// again.
   void giveBack(const std::string& aKey, const std::shared_ptr<Outbound>& aConnection);
 
   /// Closes kept connections of a key.
--- /dev/null
+++ b/src/link/tests/linktest.cpp
@@ -0,0 +1,425 @@
+#include <CppUTest/TestHarness.h>
+
+#include "link/callset.h"
+#include "link/inbound.h"
+#include "link/outbound.h"
+#include "testing/scriptedpeer.h"
+
+using namespace savoryrill;
+using testing::RawConnection;
+using testing::rawResponse;
+using testing::ScriptedPeer;
+
+namespace {
+
+constexpr Duration kTestLimit = 5s;
+
+/// Answers each request with its target, or keeps it.
+class EchoHandler : public link::IInboundHandler
+{
+public:
+  void requestReceived(const std::shared_ptr<link::Inbound>& aConnection,
+                       link::RequestMessage aRequest) override
+  {
+    requests.push_back(aRequest);
+    if (keep) {
+      kept = aConnection;
+      aConnection->onLeft([this] { left = true; });
+      return;
+    }
+    link::ResponseHead head;
+    head.status = 200;
+    head.reason = "OK";
+    aConnection->respond(head, aRequest.target + " " + aRequest.body);
+  }
+  void requestRejected(int aStatus, std::string_view) override { rejected = aStatus; }
+  const link::InboundLimits& limits() const override { return bounds; }
+  bool closesConnections() const override { return closing; }
+
+  std::vector<link::RequestMessage> requests;
+  std::shared_ptr<link::Inbound> kept;
+  link::InboundLimits bounds;
+  int rejected = 0;
+  bool keep = false;
+  bool left = false;
+  bool closing = false;
+};
+
+class RecordingExchange : public link::IExchangeHandler
+{
+public:
+  bool ownsResponse(const link::ResponseHead& aHead) override
+  {
+    const auto* id = link::findHeader(aHead.headers, "x-id");
+    return id == nullptr || *id == "own";
+  }
+  void responseStarted(const link::ResponseHead& aHead) override
+  {
+    status = aHead.status;
+  }
+  void responseData(std::string_view aData) override { body.append(aData); }
+  void responseFinished() override { finished = true; }
+  void exchangeFailed(link::ExchangeFault aFault) override { fault = aFault; }
+  bool done() const { return finished || fault.has_value(); }
+
+  int status = 0;
+  std::string body;
+  bool finished = false;
+  std::optional<link::ExchangeFault> fault;
+};
+
+} // namespace
+
+TEST_GROUP(Inbound)
+{
+  std::unique_ptr<event::Loop> loop;
+  EchoHandler handler;
+  std::unique_ptr<link::Listener> listener;
+  std::unique_ptr<RawConnection> caller;
+  std::uint16_t port = 0;
+
+  void setup() override
+  {
+    loop = std::move(event::Loop::create().value());
+    port = testing::freePort();
+    listener = std::move(
+      link::Listener::create(*loop, { "127.0.0.1", port }, handler, 16).value());
+    caller = RawConnection::connect(*loop, port);
+  }
+
+  void teardown() override
+  {
+    caller.reset();
+    handler.kept.reset();
+    listener.reset();
+    loop.reset();
+  }
+
+  template<typename T>
+  bool until(T aCondition)
+  {
+    const Instant end = loop->now() + kTestLimit;
+    const auto wake = loop->every(5ms, [] {});
+    while (!aCondition() && loop->now() < end) {
+      loop->runOnce(true);
+    }
+    return aCondition();
+  }
+
+  bool receives(const std::string& aText)
+  {
+    return until([&] { return caller->received().find(aText) != std::string::npos; });
+  }
+};
+
+TEST(Inbound, PipelinedRequests_AnsweredInOrder)
+{
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(receives("/2 "));
+  CHECK_TRUE(caller->received().find("/1 ") < caller->received().find("/2 "));
+}
+
+TEST(Inbound, ChunkedBody_ArrivesWhole)
+{
+  caller->send("POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  CHECK_TRUE(receives("/c abcde"));
+}
+
+// Guards against a request hidden in the body of another one.
+TEST(Inbound, LengthAndChunksTogether_RejectedAndClosed)
+{
+  caller->send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n");
+  CHECK_TRUE(receives("400"));
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+  LONGS_EQUAL(0, handler.requests.size());
+}
+
+TEST(Inbound, TwoLengths_Rejected)
+{
+  caller->send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+               "Content-Length: 5\r\n\r\nabcd");
+  CHECK_TRUE(receives("400"));
+  LONGS_EQUAL(0, handler.requests.size());
+}
+
+TEST(Inbound, HeadAboveLimit_Answered431)
+{
+  caller->send("GET / HTTP/1.1\r\nHost: a\r\nX-Big: " + std::string(20000, 'x') +
+               "\r\n\r\n");
+  CHECK_TRUE(receives("431"));
+  LONGS_EQUAL(431, handler.rejected);
+}
+
+TEST(Inbound, BodyAboveLimit_Answered413BeforeItArrives)
+{
+  handler.bounds.maxBodyBytes = 100;
+  caller->send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nab");
+  CHECK_TRUE(receives("413"));
+}
+
+TEST(Inbound, ChunkedBodyAboveLimit_Answered413)
+{
+  handler.bounds.maxBodyBytes = 4;
+  caller->send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "8\r\nabcdefgh\r\n");
+  CHECK_TRUE(receives("413"));
+}
+
+TEST(Inbound, HeadArrivesTooSlowly_Answered408)
+{
+  handler.bounds.receiveTimeout = 50ms;
+  caller->send("GET / HT");
+  CHECK_TRUE(receives("408"));
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+}
+
+TEST(Inbound, IdleAboveLimit_ClosedWithoutAnswer)
+{
+  handler.bounds.idleTimeout = 50ms;
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(receives("/1 "));
+  caller->clear();
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+  STRCMP_EQUAL("", caller->received().c_str());
+}
+
+// Guards against work for callers that have left.
+TEST(Inbound, CallerLeavesWhileRequestIsInProgress_HandlerIsTold)
+{
+  handler.keep = true;
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(until([&] { return handler.kept != nullptr; }));
+  caller->close();
+  CHECK_TRUE(until([&] { return handler.left; }));
+}
+
+TEST(Inbound, ExpectContinue_ToldToContinue)
+{
+  caller->send("POST /e HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+               "Content-Length: 2\r\n\r\n");
+  CHECK_TRUE(receives("100 Continue"));
+  caller->send("ok");
+  CHECK_TRUE(receives("/e ok"));
+}
+
+TEST(Inbound, WhileClosing_ResponseEndsItsConnection)
+{
+  handler.closing = true;
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(receives("Connection: close"));
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+}
+
+// Guards against an incomplete response that looks complete.
+TEST(Inbound, StreamAborted_NoTerminatingChunk)
+{
+  handler.keep = true;
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(until([&] { return handler.kept != nullptr; }));
+  link::ResponseHead head;
+  head.status = 200;
+  head.reason = "OK";
+  head.framing = link::Framing::Chunked;
+  handler.kept->sendHead(head);
+  handler.kept->sendData("data");
+  CHECK_TRUE(receives("data"));
+  handler.kept->abort();
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+  CHECK_TRUE(caller->received().find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST_GROUP(Outbound)
+{
+  std::unique_ptr<event::Loop> loop;
+  std::unique_ptr<link::OutboundPool> pool;
+  std::unique_ptr<ScriptedPeer> peer;
+  RecordingExchange exchange;
+  std::shared_ptr<link::Outbound> connection;
+
+  void setup() override
+  {
+    loop = std::move(event::Loop::create().value());
+    pool = std::make_unique<link::OutboundPool>(*loop, link::OutboundPool::Options{});
+  }
+
+  void teardown() override
+  {
+    connection.reset();
+    pool.reset();
+    peer.reset();
+    loop.reset();
+  }
+
+  template<typename T>
+  bool until(T aCondition)
+  {
+    const Instant end = loop->now() + kTestLimit;
+    const auto wake = loop->every(5ms, [] {});
+    while (!aCondition() && loop->now() < end) {
+      loop->runOnce(true);
+    }
+    return aCondition();
+  }
+
+  void answerWith(std::string aBytes, bool aClose = false)
+  {
+    peer = std::make_unique<ScriptedPeer>(
+      *loop, [aBytes, aClose](RawConnection& aConnection, const std::string&) {
+        aConnection.send(aBytes);
+        if (aClose) {
+          aConnection.close();
+        }
+      });
+  }
+
+  bool call()
+  {
+    exchange = {};
+    connection = pool->take("u", { "127.0.0.1", peer->port() }, 4).connection;
+    connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, exchange);
+    const bool ended = until([&] { return exchange.done(); });
+    pool->giveBack("u", connection);
+    return ended;
+  }
+};
+
+TEST(Outbound, KeptConnection_UsedAgain)
+{
+  answerWith(rawResponse(200, "", "body"));
+  CHECK_TRUE(call());
+  CHECK_TRUE(call());
+  STRCMP_EQUAL("body", exchange.body.c_str());
+  LONGS_EQUAL(1, pool->opened());
+}
+
+// Guards against answers that reach the wrong caller.
+TEST(Outbound, AnswerToOtherRequestComesFirst_SkippedAndConnectionDropped)
+{
+  answerWith(rawResponse(200, "X-Id: other\r\n", "theirs") +
+             rawResponse(200, "X-Id: own\r\n", "mine"));
+  CHECK_TRUE(call());
+  STRCMP_EQUAL("mine", exchange.body.c_str());
+  CHECK_FALSE(connection->reusable());
+}
+
+TEST(Outbound, BytesBehindAnswer_ConnectionDropped)
+{
+  answerWith(rawResponse(200, "X-Id: own\r\n", "mine") + rawResponse(200, "", "extra"));
+  CHECK_TRUE(call());
+  STRCMP_EQUAL("mine", exchange.body.c_str());
+  CHECK_FALSE(connection->reusable());
+}
+
+// Guards against a second answer that arrives while the connection is kept.
+TEST(Outbound, AnswerWhileIdle_ConnectionNotUsedAgain)
+{
+  answerWith(rawResponse(200, "X-Id: own\r\n", "mine"));
+  CHECK_TRUE(call());
+  peer->connection(0).send(rawResponse(200, "X-Id: own\r\n", "late"));
+  CHECK_TRUE(call());
+  LONGS_EQUAL(2, pool->opened());
+  STRCMP_EQUAL("mine", exchange.body.c_str());
+}
+
+TEST(Outbound, InterimResponse_Ignored)
+{
+  answerWith("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + rawResponse(200, "", "b"));
+  CHECK_TRUE(call());
+  LONGS_EQUAL(200, exchange.status);
+}
+
+TEST(Outbound, AnswerShorterThanItsLength_IsNoAnswer)
+{
+  answerWith("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", true);
+  CHECK_TRUE(call());
+  CHECK_FALSE(exchange.finished);
+  CHECK_TRUE(exchange.fault == link::ExchangeFault::Broken);
+}
+
+TEST(Outbound, ChunkedAnswerWithoutEnd_IsNoAnswer)
+{
+  answerWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", true);
+  CHECK_TRUE(call());
+  CHECK_FALSE(exchange.finished);
+}
+
+TEST(Outbound, AnswerWithoutLength_EndsWithConnection)
+{
+  answerWith("HTTP/1.1 200 OK\r\n\r\nabc", true);
+  CHECK_TRUE(call());
+  CHECK_TRUE(exchange.finished);
+  STRCMP_EQUAL("abc", exchange.body.c_str());
+}
+
+// Guards against an answer that was cut off and looks complete.
+TEST(Outbound, AnswerWithoutLengthIsReset_IsNoAnswer)
+{
+  peer = std::make_unique<ScriptedPeer>(
+    *loop, [](RawConnection& aConnection, const std::string&) {
+      aConnection.send("HTTP/1.1 200 OK\r\n\r\nabc");
+      aConnection.reset();
+    });
+  CHECK_TRUE(call());
+  CHECK_FALSE(exchange.finished);
+}
+
+TEST(Outbound, BytesThatAreNoAnswer_Malformed)
+{
+  answerWith("garbage\r\n\r\n");
+  CHECK_TRUE(call());
+  CHECK_TRUE(exchange.fault == link::ExchangeFault::Malformed);
+}
+
+// Guards against sending a request again that may have run: on a kept connection that the
+// peer closes when the request arrives, HTTP libraries repeat it silently.
+TEST(Outbound, KeptConnectionClosedByPeer_RequestIsSentOnce)
+{
+  answerWith(rawResponse(200, "", "first"));
+  CHECK_TRUE(call());
+  peer->setAnswer(
+    [](RawConnection& aConnection, const std::string&) { aConnection.close(); });
+  CHECK_TRUE(call());
+  CHECK_TRUE(exchange.fault == link::ExchangeFault::Broken);
+  LONGS_EQUAL(2, peer->requests().size());
+}
+
+TEST(Outbound, NothingListens_NotConnected)
+{
+  const auto port = testing::freePort();
+  connection = pool->take("u", { "127.0.0.1", port }, 4).connection;
+  connection->send("GET / HTTP/1.1\r\n\r\n", false, exchange);
+  CHECK_TRUE(until([&] { return exchange.done(); }));
+  CHECK_TRUE(exchange.fault == link::ExchangeFault::NotConnected);
+  pool->giveBack("u", connection);
+}
+
+TEST(Outbound, MostOpenReached_NoConnection)
+{
+  answerWith("");
+  const auto first = pool->take("u", { "127.0.0.1", peer->port() }, 1);
+  const auto second = pool->take("u", { "127.0.0.1", peer->port() }, 1);
+  CHECK_TRUE(first.connection != nullptr);
+  CHECK_TRUE(second.connection == nullptr);
+  first.connection->cancel();
+  pool->giveBack("u", first.connection);
+  CHECK_TRUE(pool->take("u", { "127.0.0.1", peer->port() }, 1).connection != nullptr);
+}
+
+TEST(Outbound, CallWithoutResponse_TimesOutAsUnknown)
+{
+  answerWith("");
+  link::CallSet calls(*loop, *pool);
+  std::optional<ErrorCode> code;
+  link::WholeCall whole;
+  whole.key = "u";
+  whole.endpoint = { "127.0.0.1", peer->port() };
+  whole.request = link::jsonRequest("GET", "/", whole.endpoint, "");
+  whole.timeout = 100ms;
+  calls.start(whole, [&](Result<link::WholeResponse> aResponse) {
+    code = aResponse ? ErrorCode::Internal : aResponse.error().code;
+  });
+  CHECK_TRUE(until([&] { return code.has_value(); }));
+  CHECK_TRUE(*code == ErrorCode::OutcomeUnknown);
+}
--- a/src/serving/engineledger.h
+++ b/src/serving/engineledger.h
@@ -113,7 +113,7 @@
   const EngineProfile* mProfile;
   bool mLeaving = false;
   bool mSettled = false;
-  std::uint64_t mOrders = 0; // accepted, as far as known
+  std::uint64_t mOrders = 0;                            // accepted, as far as known
   std::map<std::string, std::set<std::string>> mModels; // with adapters
   std::map<ModelKey, Instant> mAdapterReadyAt;
   std::set<std::string> mInMemory;
--- a/src/serving/internal/engineledger.cpp
+++ b/src/serving/internal/engineledger.cpp
@@ -56,8 +56,8 @@
     mOnDisk = report.onDisk;
     return;
   }
-  const bool same = std::ranges::equal(
-    models, mModels, [](const auto& aOne, const auto& aOther) {
+  const bool same =
+    std::ranges::equal(models, mModels, [](const auto& aOne, const auto& aOther) {
       return aOne.first == aOther.first;
     });
   if (!same && !mCall && !mPending && aNow - mLastChange > kListLag) {
@@ -141,9 +141,8 @@
     }
   }
   mModels = std::move(models);
-  std::erase_if(mAdapterReadyAt, [&](const auto& aItem) {
-    return aNow - aItem.second > 2 * kReportLag;
-  });
+  std::erase_if(mAdapterReadyAt,
+                [&](const auto& aItem) { return aNow - aItem.second > 2 * kReportLag; });
 }
 
 PlacementOrder
@@ -358,7 +357,7 @@
   const auto add = [&](const ModelKey& aKey) {
     const auto* profile = profileOf(aKey.model);
     // A model that the configuration does not name takes an unknown part: count all.
-    used += profile == nullptr      ? mProfile->memoryMb
+    used += profile == nullptr     ? mProfile->memoryMb
             : aKey.adapter.empty() ? profile->footprintMb
                                    : profile->adapterMb;
   };
@@ -388,7 +387,8 @@
 EngineLedger::fits(const std::string& aModel) const
 {
   const auto* profile = profileOf(aModel);
-  return profile != nullptr && memoryUsedMb() + profile->footprintMb <= mProfile->memoryMb;
+  return profile != nullptr &&
+         memoryUsedMb() + profile->footprintMb <= mProfile->memoryMb;
 }
 
 CheckpointSource
--- a/src/serving/internal/leadership.cpp
+++ b/src/serving/internal/leadership.cpp
@@ -98,8 +98,7 @@
       // Nobody has ordered before, or this host has, whose orders need no distance.
       mOrderFrom = aNow;
     } else {
-      const bool released =
-        previous->released || mReleasedVersion == previous->version;
+      const bool released = previous->released || mReleasedVersion == previous->version;
       const Duration authority = released ? Duration::zero() : mOptions.lease;
       mOrderFrom = mUnchangedSince + authority + mOptions.turnTime + mOptions.margin;
     }
--- a/src/serving/internal/placementplanner.cpp
+++ b/src/serving/internal/placementplanner.cpp
@@ -87,8 +87,8 @@
   const auto add = [&](const ModelKey& aKey, const DemandItem& aItem, Instant aAt) {
     auto& demand = mDemand[aKey];
     if (aItem.waiting > 0) {
-      demand.priority = demand.waiting == 0 ? aItem.priority
-                                            : std::min(demand.priority, aItem.priority);
+      demand.priority =
+        demand.waiting == 0 ? aItem.priority : std::min(demand.priority, aItem.priority);
       if (aItem.deadline) {
         const Instant deadline = aAt + *aItem.deadline;
         demand.deadline =
@@ -148,8 +148,8 @@
   std::uint32_t loads = 0;
   for (const auto& [id, engine] : mEngines) {
     const auto swap = mSwaps.find(id);
-    const bool planned = swap != mSwaps.end() &&
-                         engine.sourceOf(swap->second) == CheckpointSource::Store;
+    const bool planned =
+      swap != mSwaps.end() && engine.sourceOf(swap->second) == CheckpointSource::Store;
     loads += engine.loadsFromStore() || planned ? 1 : 0;
   }
   return loads;
@@ -318,8 +318,9 @@
 void
 PlacementPlanner::placeAdapters(Instant aNow, std::vector<PlacementOrder>& aOrders)
 {
-  for (const auto& [key, demand] : mDemand) {
-    if (key.adapter.empty() || demand.waiting == 0) {
+  for (const auto& item : mDemand) {
+    const ModelKey& key = item.first;
+    if (key.adapter.empty() || item.second.waiting == 0) {
       continue;
     }
     const bool held = std::ranges::any_of(mEngines, [&](const auto& aItem) {
@@ -469,11 +470,14 @@
     if (copyAnywhere(model) || heldCopies(model) > 0) {
       continue;
     }
-    if (const auto place = bestPlace(model, true, aNow)) {
-      occupy(*place, model, aNow, aOrders);
-    } else {
+    const auto place = bestPlace(model, true, aNow);
+    if (!place) {
       return;
     }
+    // A copy for later is not worth the only ready copy of another model.
+    if (place->cost - toSeconds(place->readyIn) < kLastCopyCost) {
+      occupy(*place, model, aNow, aOrders);
+    }
   }
 }
 
--- a/src/serving/internal/upstreamdirectory.cpp
+++ b/src/serving/internal/upstreamdirectory.cpp
@@ -64,8 +64,8 @@
     return;
   }
   if (afterOutage(aNow) && !found->second.leaving) {
-    const Instant ended = mLastRead && aNow - *mLastRead > kOutageGap ? aNow
-                                                                       : *mOutageEnded;
+    const Instant ended =
+      mLastRead && aNow - *mLastRead > kOutageGap ? aNow : *mOutageEnded;
     mMissingUntil.try_emplace(aId, ended + kReturnTime);
     return;
   }
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -13,27 +13,27 @@
 struct LeaderRow
 {
   std::string host;
-  std::string endpoint; // of its peer socket
-  std::string term;     // random, one for each time a process takes the leadership
-  bool released = false; // its holder has stopped ordering
+  std::string endpoint;      // of its peer socket
+  std::string term;          // random, one for each time a process takes the leadership
+  bool released = false;     // its holder has stopped ordering
   std::uint64_t version = 0; // of the row, from the table
 };
 
 enum class LeadershipStep
 {
   None,
-  Read,    // read the row
-  Take,    // write the row under the version in `base`
-  Renew,   // as above
-  Release  // as above
+  Read,   // read the row
+  Take,   // write the row under the version in `base`
+  Renew,  // as above
+  Release // as above
 };
 
 /// Decides who may order loads: a lease in a row of the platform's table, without any
 /// clock of the table. A holder counts its lease from before it sent the renewal. A
 /// successor waits until the row has not changed for the lease, and after it has taken
 /// the row it waits until no order of its predecessor can be near one of its own. The
-/// fencing number is the row's version at the take, which only grows. Instants come from a
-/// clock that goes on during suspension. Not thread safe; no I/O.
+/// fencing number is the row's version at the take, which only grows. Instants come from
+/// a clock that goes on during suspension. Not thread safe; no I/O.
 class Leadership
 {
 public:
@@ -67,7 +67,10 @@
   void sent(LeadershipStep aStep, const std::string& aTerm, Instant aNow);
 
   /// The write was applied with `aVersion`.
-  void written(LeadershipStep aStep, const LeaderRow& aRow, std::uint64_t aVersion, Instant aNow);
+  void written(LeadershipStep aStep,
+               const LeaderRow& aRow,
+               std::uint64_t aVersion,
+               Instant aNow);
 
   /// The row as read, nothing if it is absent.
   void observed(const std::optional<LeaderRow>& aRow, Instant aNow);
--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -15,10 +15,11 @@
 
 namespace savoryrill::serving {
 
-/// Decides which engine of a group loads and unloads what. Answers this load pattern: many
-/// more models than places, a few of them busy and changing, the rest asked for rarely and
-/// at once. A load from the weight store takes longer than most callers wait, and few of
-/// them run at full speed together; a load from an engine's own disk is quick. So:
+/// Decides which engine of a group loads and unloads what. Answers this load pattern:
+/// many more models than places, a few of them busy and changing, the rest asked for
+/// rarely and at once. A load from the weight store takes longer than most callers wait,
+/// and few of them run at full speed together; a load from an engine's own disk is quick.
+/// So:
 ///
 /// - a model that callers wait for is loaded where it is ready first, which is usually
 ///   where a copy is on disk; the least useful model there makes way;
@@ -37,11 +38,11 @@
     std::uint32_t fullSpeedLoads = 4;
     /// Window in which loads from the weight store are counted against their rate.
     Duration rateWindow = 5s;
-    /// Requests in progress at one copy above which a model gets another. Prompts are read
-    /// one after another, so a larger batch delays first events.
+    /// Requests in progress at one copy above which a model gets another. Prompts are
+    /// read one after another, so a larger batch delays first events.
     double requestsPerCopy = 6;
-    /// Requests at each remaining copy up to which a surplus copy may go; below the above,
-    /// so that copies do not come and go.
+    /// Requests at each remaining copy up to which a surplus copy may go; below the
+    /// above, so that copies do not come and go.
     double requestsWithoutCopy = 4;
     /// A model is kept at least this long after its load.
     Duration leastStay = 1500ms;
@@ -124,7 +125,9 @@
   std::optional<Place> placeAt(EngineLedger& aEngine,
                                const std::string& aModel,
                                Instant aNow) const;
-  std::optional<Place> bestPlace(const std::string& aModel, bool aFromStore, Instant aNow);
+  std::optional<Place> bestPlace(const std::string& aModel,
+                                 bool aFromStore,
+                                 Instant aNow);
   void occupy(const Place& aPlace,
               const std::string& aModel,
               Instant aNow,
--- /dev/null
+++ b/src/serving/tests/engineworld.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+#include "serving/placementplanner.h"
+
+namespace savoryrill::serving {
+
+/// Engines that carry out orders as the planner's peers do, with their own clock: one
+/// model order at a time, a count of accepted orders, conflicts while busy, and a record
+/// of memory that was overcommitted. Drives a planner in steps of 20 ms.
+class EngineWorld
+{
+public:
+  struct Engine
+  {
+    UpstreamEntry entry;
+    std::uint64_t orders = 0;
+    std::optional<PlacementOrder> busyWith;
+    Instant busyUntil{};
+    std::map<std::string, std::set<std::string>> models;
+    std::set<std::string> onDisk;
+    Duration unloadTime = 40ms; // longer while requests run
+    bool losesAnswers = false;
+    bool lateOrders = false;
+  };
+
+  EngineWorld();
+
+  Engine& addEngine(const std::string& aId, const std::set<std::string>& aModels);
+  void addModel(const std::string& aName, double aMb = 70);
+
+  /// Runs for a time with a steady demand.
+  void run(Duration aTime);
+  void setDemand(const std::string& aHost, std::vector<DemandItem> aItems);
+  static DemandItem waiting(const std::string& aModel, std::uint32_t aCount = 1);
+  static DemandItem inFlight(const std::string& aModel, std::uint32_t aCount);
+
+  int copiesOf(const std::string& aModel) const;
+  /// Time until some engine holds the model, or nothing within `aLimit`.
+  std::optional<Duration> timeUntilHeld(const std::string& aModel, Duration aLimit);
+  void replacePlanner();
+
+  EngineProfile profile;
+  std::map<std::string, Engine> engines;
+  std::unique_ptr<PlacementPlanner> planner;
+  Instant now{ 100s };
+  int overcommits = 0;
+  int storeLoads = 0;
+  int mostStoreLoadsAtOnce = 0;
+  int ordersSent = 0;
+  int conflicts = 0;
+
+private:
+  void step();
+  void deliver(const PlacementOrder& aOrder);
+  OrderOutcome apply(Engine& aEngine, const PlacementOrder& aOrder);
+  void finishOrders();
+  double usedMb(const Engine& aEngine) const;
+  EngineReport reportOf(const Engine& aEngine) const;
+
+  std::map<std::string, std::vector<DemandItem>> mDemand;
+  std::deque<std::pair<Instant, PlacementOrder>> mLate;
+  Instant mNextList{};
+  Instant mNextDemand{};
+};
+
+} // namespace savoryrill::serving
--- /dev/null
+++ b/src/serving/tests/upstreamdirectorytest.cpp
@@ -0,0 +1,121 @@
+#include <CppUTest/TestHarness.h>
+
+#include "serving/upstreamdirectory.h"
+
+using namespace savoryrill;
+using serving::DirectoryChange;
+using serving::UpstreamDirectory;
+using serving::UpstreamEntry;
+
+TEST_GROUP(UpstreamDirectory)
+{
+  UpstreamDirectory directory;
+  std::vector<DirectoryChange> changes;
+  Instant now{ 100s };
+
+  static UpstreamEntry entry(const std::string& aId,
+                             std::int64_t aBorn = 1,
+                             std::uint64_t aHeartbeat = 1,
+                             bool aLeaving = false)
+  {
+    UpstreamEntry result;
+    result.id = aId;
+    result.bornMs = aBorn;
+    result.heartbeat = aHeartbeat;
+    result.leaving = aLeaving;
+    return result;
+  }
+
+  void update(UpstreamEntry aEntry)
+  {
+    directory.update(std::move(aEntry), now, changes);
+  }
+
+  bool changed(DirectoryChange::Kind aKind)
+  {
+    for (const auto& change : changes) {
+      if (change.kind == aKind) {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+// Guards against new requests at an upstream whose late entry says that it is ready.
+TEST(UpstreamDirectory, LateEntryAfterLeaving_StaysLeaving)
+{
+  update(entry("u", 1, 5));
+  update(entry("u", 1, 6, true));
+  update(entry("u", 1, 4));
+  CHECK_TRUE(directory.find("u")->leaving);
+  update(entry("u", 1, 7));
+  CHECK_TRUE(directory.find("u")->leaving);
+}
+
+TEST(UpstreamDirectory, NewIncarnationUnderSameId_ReplacesLeavingOne)
+{
+  update(entry("u", 1, 5, true));
+  update(entry("u", 2, 1));
+  CHECK_FALSE(directory.find("u")->leaving);
+  LONGS_EQUAL(2, directory.find("u")->bornMs);
+}
+
+TEST(UpstreamDirectory, EntryOfEarlierIncarnation_Ignored)
+{
+  update(entry("u", 2, 1));
+  update(entry("u", 1, 9, true));
+  CHECK_FALSE(directory.find("u")->leaving);
+}
+
+TEST(UpstreamDirectory, RemovedWhileListIsReadable_VanishesAtOnce)
+{
+  update(entry("u"));
+  directory.readSucceeded(now);
+  now += 1s;
+  directory.remove("u", now, changes);
+  CHECK_TRUE(changed(DirectoryChange::Kind::Vanished));
+  CHECK_TRUE(directory.find("u") == nullptr);
+}
+
+// Guards against losing all upstreams whose entries lapsed during an outage of the list.
+TEST(UpstreamDirectory, MissingAfterOutage_KeptForReturnTime)
+{
+  update(entry("u"));
+  directory.readSucceeded(now);
+  now += 5s;
+  directory.replaceAll({}, now, changes);
+  directory.readSucceeded(now);
+  CHECK_TRUE(directory.find("u") != nullptr);
+  now += UpstreamDirectory::kReturnTime - 10ms;
+  directory.expire(now, changes);
+  CHECK_TRUE(directory.find("u") != nullptr);
+  now += 20ms;
+  directory.expire(now, changes);
+  CHECK_TRUE(directory.find("u") == nullptr);
+}
+
+TEST(UpstreamDirectory, ReturnsAfterOutage_IsNotRemovedLater)
+{
+  update(entry("u"));
+  directory.readSucceeded(now);
+  now += 5s;
+  directory.replaceAll({}, now, changes);
+  directory.readSucceeded(now);
+  now += 1s;
+  update(entry("u", 1, 2));
+  CHECK_TRUE(changed(DirectoryChange::Kind::Returned));
+  now += 10s;
+  directory.expire(now, changes);
+  CHECK_TRUE(directory.find("u") != nullptr);
+}
+
+// Guards against keeping an upstream that had said that it leaves.
+TEST(UpstreamDirectory, LeavingAndMissingAfterOutage_VanishesAtOnce)
+{
+  update(entry("u", 1, 1, true));
+  directory.readSucceeded(now);
+  now += 5s;
+  directory.remove("u", now, changes);
+  CHECK_TRUE(directory.find("u") == nullptr);
+}
--- a/src/serving/types/call.h
+++ b/src/serving/types/call.h
@@ -29,13 +29,13 @@
   NoConfiguration,
   NoRoute,
   BadRequest,
-  NoUpstream,      // no upstream of the group can take it in time
-  ModelNotInTime,  // its model cannot be loaded before the deadline
+  NoUpstream,     // no upstream of the group can take it in time
+  ModelNotInTime, // its model cannot be loaded before the deadline
   QueueFull,
-  DeadlinePassed,  // it waited until the deadline or the route's timeout
+  DeadlinePassed, // it waited until the deadline or the route's timeout
   Stopping,
-  OutcomeUnknown,  // it was sent and may have run
-  UpstreamFailed   // the upstream's response was unusable
+  OutcomeUnknown, // it was sent and may have run
+  UpstreamFailed  // the upstream's response was unusable
 };
 
 } // namespace savoryrill::serving
--- a/src/serving/types/placement.h
+++ b/src/serving/types/placement.h
@@ -45,8 +45,8 @@
   ModelKey model;
   std::uint32_t waiting = 0;
   std::uint32_t inFlight = 0;
-  std::uint32_t arrivals = 0; // since the previous report of the host
-  std::uint32_t priority = 0; // lowest number, the most urgent, among the waiting
+  std::uint32_t arrivals = 0;       // since the previous report of the host
+  std::uint32_t priority = 0;       // lowest number, the most urgent, among the waiting
   std::optional<Duration> deadline; // earliest among the waiting, from now
 };
 
--- a/src/serving/types/servingconfig.h
+++ b/src/serving/types/servingconfig.h
@@ -58,13 +58,13 @@
 /// Limits that all engines of a group share.
 struct EngineProfile
 {
-  std::uint32_t concurrency = 1;    // requests in a batch
-  std::uint64_t cacheTokens = 0;    // memory for prompts and generated tokens
-  double memoryMb = 0;              // for weights and adapters
-  std::uint32_t adapterPlaces = 0;  // adapters at one engine
-  double storeLoadsPerSecond = 0;   // of all engines together
-  double hostMemoryMb = 0;          // checkpoint copies in memory
-  double diskMb = 0;                // checkpoint copies on disk
+  std::uint32_t concurrency = 1;   // requests in a batch
+  std::uint64_t cacheTokens = 0;   // memory for prompts and generated tokens
+  double memoryMb = 0;             // for weights and adapters
+  std::uint32_t adapterPlaces = 0; // adapters at one engine
+  double storeLoadsPerSecond = 0;  // of all engines together
+  double hostMemoryMb = 0;         // checkpoint copies in memory
+  double diskMb = 0;               // checkpoint copies on disk
   std::map<std::string, ModelProfile> models;
 };
 
--- a/src/serving/types/upstreamentry.h
+++ b/src/serving/types/upstreamentry.h
@@ -48,14 +48,15 @@
 /// An upstream as the platform's list describes it.
 struct UpstreamEntry
 {
-  std::string id;         // of this incarnation, may be used again after a restart
+  std::string id;          // of this incarnation, may be used again after a restart
   std::int64_t bornMs = 0; // start time that tells incarnations with the same id apart
   std::string group;
   std::string dataCentre;
   link::Endpoint endpoint;
   std::uint32_t concurrency = 1;
   bool leaving = false;
-  Duration leavesIn = Duration::zero(); // known only for upstreams reclaimed at short notice
+  Duration leavesIn =
+    Duration::zero();          // known only for upstreams reclaimed at short notice
   std::uint64_t heartbeat = 0; // grows with each entry of this incarnation
   EngineReport engine;         // of engines, without the count of orders
 };
--- a/src/serving/upstreamdirectory.h
+++ b/src/serving/upstreamdirectory.h
@@ -17,10 +17,10 @@
 {
   enum class Kind
   {
-    Added,     // new, or a new incarnation under a known id
-    Leaving,   // no new requests from now on
-    Vanished,  // gone from the list
-    Returned   // back after it had vanished while the list could not be read
+    Added,    // new, or a new incarnation under a known id
+    Leaving,  // no new requests from now on
+    Vanished, // gone from the list
+    Returned  // back after it had vanished while the list could not be read
   };
   Kind kind = Kind::Added;
   std::string id;
@@ -42,7 +42,9 @@
   void update(UpstreamEntry aEntry, Instant aNow, std::vector<DirectoryChange>& aChanges);
 
   /// Takes the removal of an entry.
-  void remove(const std::string& aId, Instant aNow, std::vector<DirectoryChange>& aChanges);
+  void remove(const std::string& aId,
+              Instant aNow,
+              std::vector<DirectoryChange>& aChanges);
 
   /// Takes the whole list: entries that it lacks are removed.
   void replaceAll(std::vector<UpstreamEntry> aEntries,
