--- a/src/gateway/internal/call.cpp
+++ b/src/gateway/internal/call.cpp
@@ -185,7 +185,7 @@
   const auto now = mContext.loop.now();
   const bool engine = !mDetails.model.model.empty();
   // Until its first event a stream has only as long as its caller stays.
-  const Duration rest = std::min(mDue, mArrived + mRoute->patience) - now;
+  const Duration rest = std::min(mDue, mArrived + mRoute->callerTimeout) - now;
   const Duration needed = engine ? kLeastEngineTime : kLeastServiceTime;
   if (mAttempts >= kMostAttempts || rest < needed) {
     refuseNow(mAttempts >= kMostAttempts ? RefusalReason::NoUpstream
@@ -198,7 +198,7 @@
     return;
   }
   if (!ready_in &&
-      rest < std::min(mDue - mArrived, mRoute->patience) / kUnknownWaitDivisor) {
+      rest < std::min(mDue - mArrived, mRoute->callerTimeout) / kUnknownWaitDivisor) {
     refuseNow(RefusalReason::ModelNotInTime);
     return;
   }
--- a/src/serving/types/servingconfig.h
+++ b/src/serving/types/servingconfig.h
@@ -37,7 +37,7 @@
   Duration timeout = 30s;         // longest wait for the final response
   Duration objective = 1s;        // first event of a stream, whole response of others
   Duration longestPause = 300ms;  // between events of a stream
-  Duration patience = 30s;        // callers leave after this time without an event
+  Duration callerTimeout = 30s;   // callers leave after this time without an event
   std::uint32_t priority = 0;     // 0 is the most urgent
   std::uint32_t maxAttempts = 1;  // upstreams that may receive one request
   bool resumable = false;
