Send only changed views; count copies once a plan; bound batches over all hosts

Change: views go out when they change, to a host that connects only recent ones; copies are counted once in a plan; an upstream whose batch is full by the leader's sums gets nothing. Tests: UpstreamBoard HostsTogetherFillAllCopies, LeaderIsFollowedByAnother; PlacementPlanner ManyEnginesAndModels.

--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -19,8 +19,11 @@
 constexpr Duration kDemandPeriod = 400ms;
 // Replica views are sent when they change. A message without any is the sign of life.
 constexpr Duration kNewsPeriod = 500ms;
-// All views are sent again after this time, which repairs lost messages.
-constexpr Duration kAllViewsPeriod = 5s;
+// Views that changed within this time are sent to a host that connects; older changes are
+// in the platform's list.
+constexpr Duration kRecentViews = 6s;
+// Pause between two messages with changed views, for each host that receives them.
+constexpr Duration kViewsPausePerHost = 1ms;
 constexpr Duration kOrderTimeout = 700ms;
 constexpr Duration kReportTimeout = 500ms;
 constexpr Duration kPeerHeartbeat = 500ms;
@@ -175,7 +178,7 @@
   }
   if (mLeading) {
     plan();
-    publishReplicas(!mAllSent || now - *mAllSent >= kAllViewsPeriod);
+    publishReplicas();
   }
 }
 
@@ -267,13 +270,13 @@
   }
   mLeading = leads;
   mPublished.clear();
+  mUnsent.clear();
   if (!leads) {
     announceRelease();
   }
   if (leads) {
     mPlanners.clear();
     upstreamsRead();
-    publishReplicas(true);
   }
   followEndpoint();
 }
@@ -302,7 +305,7 @@
 {
   mRemote[aPeer.id] = aPeer;
   if (mLeading) {
-    publishReplicas(true);
+    sendRecentViews(aPeer.id);
   } else if (aPeer.outgoing) {
     reportDemand();
   }
@@ -397,6 +400,11 @@
   const auto now = mDependencies.loop.now();
   mDependencies.board.leaderHeard(now);
   for (const auto& entry : aDelta.entries()) {
+    if (entry.epoch() > mFollowedFencing) {
+      // Views of an earlier leader may be wrong by now; the list counts until news come.
+      mFollowedFencing = entry.epoch();
+      mDependencies.board.forgetReplicas();
+    }
     if (entry.kind() == peer::ENTRY_KIND_UPSTREAM) {
       if (auto replicas = decodeReplicas(entry.payload())) {
         mDependencies.board.setReplicas(entry.key(), std::move(replicas.value()), now);
@@ -449,7 +457,7 @@
     }
     planWhenDue();
   }
-  publishReplicas(false);
+  publishReplicas();
 }
 
 void
@@ -602,19 +610,23 @@
   }
 }
 
-peer::Delta
-LeaderTask::replicaDelta(const std::vector<std::string>& aUpstreams)
+void
+LeaderTask::addViews(peer::Delta& aDelta, const std::vector<std::string>& aUpstreams)
 {
-  peer::Delta delta;
   for (const auto& id : aUpstreams) {
-    auto* entry = delta.add_entries();
+    auto* entry = aDelta.add_entries();
     entry->set_kind(peer::ENTRY_KIND_UPSTREAM);
     entry->set_key(id);
     entry->set_origin(mSettings.host);
     entry->set_epoch(mLeadership.fencing());
     entry->set_sequence(++mSequence);
-    entry->set_payload(encodeReplicas(id, mSettings.host, mPublished[id]));
+    entry->set_payload(encodeReplicas(id, mSettings.host, mPublished[id].replicas));
   }
+}
+
+void
+LeaderTask::addNews(peer::Delta& aDelta)
+{
   LeaderNews news;
   news.host = mSettings.host;
   news.fencing = mLeadership.fencing();
@@ -622,53 +634,95 @@
   news.waits = waits();
   news.loads = loadsOfAll();
   news.rowVersion = mLeadership.base();
-  auto* entry = delta.add_entries();
+  auto* entry = aDelta.add_entries();
   entry->set_kind(peer::ENTRY_KIND_LEADER);
   entry->set_key(mSettings.host);
   entry->set_origin(mSettings.host);
   entry->set_epoch(mLeadership.fencing());
   entry->set_sequence(++mSequence);
   entry->set_payload(encodeLeaderNews(news));
-  return delta;
 }
 
 void
-LeaderTask::publishReplicas(bool aAll)
+LeaderTask::sendRecentViews(std::uint64_t aPeerId)
 {
+  // What has not changed for a while is in the platform's list, which every host reads.
   const auto now = mDependencies.loop.now();
-  std::vector<std::string> changed;
+  std::vector<std::string> recent;
+  for (const auto& [id, published] : mPublished) {
+    if (now - published.changed < kRecentViews) {
+      recent.push_back(id);
+    }
+  }
+  peer::Delta delta;
+  addViews(delta, recent);
+  addNews(delta);
+  mPeers->send(aPeerId, delta);
+}
+
+void
+LeaderTask::publishSoon(Duration aDelay)
+{
+  if (!mPublishTimer) {
+    mPublishTimer = mDependencies.loop.after(aDelay, [this] {
+      mPublishTimer.reset();
+      if (mLeading) {
+        publishReplicas();
+      }
+    });
+  }
+}
+
+void
+LeaderTask::publishReplicas()
+{
+  const auto now = mDependencies.loop.now();
+  bool changed = false;
   for (const auto& [group, planner] : mPlanners) {
     for (const auto& id : planner->engineIds()) {
       auto view = planner->view(id, now);
-      auto& published = mPublished[id];
-      const bool differs = !sameApartFromTimes(view, published);
-      published = std::move(view);
-      if (differs) {
-        mDependencies.board.setReplicas(id, published, now);
+      const auto [published, added] = mPublished.try_emplace(id);
+      if (!added && sameApartFromTimes(view, published->second.replicas)) {
+        continue;
       }
-      if (differs || aAll) {
-        changed.push_back(id);
+      published->second.replicas = std::move(view);
+      mDependencies.board.setReplicas(id, published->second.replicas, now);
+      changed = true;
+      if (!added) {
+        published->second.changed = now;
+        mUnsent.push_back(id);
       }
     }
   }
+  mDependencies.board.leaderHeard(now);
+  if (changed) {
+    mHandlers.replicasChanged();
+  }
   mHosts = static_cast<std::uint32_t>(mRemote.size()) + 1;
-  const bool due = !mNewsSent || now - *mNewsSent >= kNewsPeriod;
-  if (changed.empty() && !due) {
+  const bool news_due = !mNewsSent || now - *mNewsSent >= kNewsPeriod;
+  if (mUnsent.empty() && !news_due) {
     return;
   }
-  mNewsSent = now;
-  if (aAll) {
-    mAllSent = now;
+  // Changes within a short time go together, the longer the more hosts there are.
+  const Duration pause = kViewsPausePerHost * mHosts;
+  if (!news_due && mViewsSent && now - *mViewsSent < pause) {
+    publishSoon(pause - (now - *mViewsSent));
+    return;
+  }
+  peer::Delta delta;
+  addViews(delta, mUnsent);
+  mUnsent.clear();
+  mViewsSent = now;
+  if (news_due) {
+    mNewsSent = now;
+    mDependencies.board.setWaits(waits(), now);
+    mDependencies.board.setLoads(loadsOfAll());
+    mHandlers.hostsChanged(mHosts);
+    addNews(delta);
   }
-  mDependencies.board.leaderHeard(now);
-  mDependencies.board.setWaits(waits(), now);
-  mDependencies.board.setLoads(loadsOfAll());
-  mHandlers.hostsChanged(mHosts);
-  const auto delta = replicaDelta(changed);
   for (const auto& [id, remote] : mRemote) {
     mPeers->send(id, delta);
   }
-  mHandlers.replicasChanged();
 }
 
 } // namespace savoryrill::gateway
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -99,8 +99,11 @@
   void sendOrder(serving::PlacementPlanner& aPlanner,
                  const serving::PlacementOrder& aOrder);
   void readReport(const std::string& aUpstream);
-  void publishReplicas(bool aAll);
-  peer::Delta replicaDelta(const std::vector<std::string>& aUpstreams);
+  void publishReplicas();
+  void publishSoon(Duration aDelay);
+  void sendRecentViews(std::uint64_t aPeerId);
+  void addViews(peer::Delta& aDelta, const std::vector<std::string>& aUpstreams);
+  void addNews(peer::Delta& aDelta);
   std::map<std::string, Duration> waits();
   serving::PlacementPlanner* plannerOf(const std::string& aGroup);
 
@@ -112,7 +115,13 @@
   serving::Leadership mLeadership;
   std::map<std::string, serving::EngineProfile> mProfiles; // by group
   std::map<std::string, std::unique_ptr<serving::PlacementPlanner>> mPlanners;
-  std::map<std::string, std::vector<serving::ReplicaView>> mPublished;
+  struct Published
+  {
+    std::vector<serving::ReplicaView> replicas;
+    Instant changed{};
+  };
+  std::map<std::string, Published> mPublished;
+  std::vector<std::string> mUnsent; // engines whose views have changed
   std::map<std::uint64_t, transport::RemotePeer> mRemote;
   std::map<std::string, std::map<std::string, std::uint32_t>> mLoads; // by host, upstream
   std::string mConnectedTo;
@@ -125,9 +134,11 @@
   std::uint32_t mHosts = 0;
   std::optional<Instant> mDemandSent;
   std::optional<Instant> mNewsSent;
-  std::optional<Instant> mAllSent;
+  std::optional<Instant> mViewsSent;
+  std::uint64_t mFollowedFencing = 0;
   event::Watch mTimer;
   event::Watch mPlanTimer;
+  event::Watch mPublishTimer;
 };
 
 } // namespace savoryrill::gateway
--- a/src/gateway/internal/upstreamboard.cpp
+++ b/src/gateway/internal/upstreamboard.cpp
@@ -22,7 +22,8 @@
 constexpr std::uint32_t kAffinitySlack = 1;
 // Remembered prompt prefixes; the oldest half is dropped above it.
 constexpr std::size_t kMostPrefixes = 4096;
-// Requests of this host at one upstream, in batches of it.
+// Requests of all hosts at one upstream, in batches of it. What is beyond waits here,
+// where it can still go to another upstream.
 constexpr std::uint32_t kMostBatches = 1;
 
 } // namespace
@@ -109,14 +110,16 @@
       aQuery.excluded.contains(aEntry.id) || !holds(aEntry, aQuery.model, aNow)) {
     return false;
   }
+  const auto others = mOtherLoads.find(aEntry.id);
+  const std::uint32_t others_load = others == mOtherLoads.end() ? 0 : others->second;
+  const std::uint32_t most = std::max(1U, aEntry.concurrency) * kMostBatches;
   const auto found = mExperience.find(aEntry.id);
   if (found == mExperience.end()) {
-    return true;
+    return others_load < most;
   }
   const auto& experience = found->second;
   const auto declined = experience.declinedUntil.find(aQuery.model);
-  return experience.circuit.allows(aNow) &&
-         experience.inFlight < std::max(1U, aEntry.concurrency) * kMostBatches &&
+  return experience.circuit.allows(aNow) && experience.inFlight + others_load < most &&
          (declined == experience.declinedUntil.end() || aNow >= declined->second);
 }
 
--- a/src/gateway/tests/codectest.cpp
+++ b/src/gateway/tests/codectest.cpp
@@ -130,6 +130,29 @@
   }
 }
 
+// Load pattern: all copies of a model are full. Guards against requests that queue at one
+// engine until their callers leave, while they could go to the copy that frees a place.
+TEST(UpstreamBoard, HostsTogetherFillAllCopies_RequestWaitsHere)
+{
+  add("u1", "m");
+  add("u2", "m");
+  board.setLoads({ { "u1", 8 }, { "u2", 8 } });
+  CHECK_FALSE(choose("m").has_value());
+  board.setLoads({ { "u1", 8 }, { "u2", 7 } });
+  STRCMP_EQUAL("u2", choose("m")->c_str());
+}
+
+// Guards against the views of a leader that has been followed by another.
+TEST(UpstreamBoard, LeaderIsFollowedByAnother_ListCountsAgain)
+{
+  add("u1", "m");
+  board.leaderHeard(now);
+  board.setReplicas("u1", {}, now);
+  CHECK_FALSE(choose("m").has_value());
+  board.forgetReplicas();
+  CHECK_TRUE(choose("m").has_value());
+}
+
 TEST(UpstreamBoard, LeaderSaysModelIsBeingUnloaded_NotChosenWhileFresh)
 {
   add("u1", "m");
--- a/src/gateway/upstreamboard.h
+++ b/src/gateway/upstreamboard.h
@@ -34,6 +34,8 @@
                    std::vector<serving::ReplicaView> aReplicas,
                    Instant aNow);
   void leaderHeard(Instant aNow) { mLeaderHeard = aNow; }
+  /// Drops the views of a leader that another one has followed.
+  void forgetReplicas() { mReplicas.clear(); }
   /// Expected times until models are ready, from the leader.
   void setWaits(std::map<std::string, Duration> aWaits, Instant aNow);
 
--- a/src/serving/engineledger.h
+++ b/src/serving/engineledger.h
@@ -80,6 +80,8 @@
   std::size_t adapterCount() const;
   std::vector<ModelKey> adapters() const;
   std::vector<std::string> readyModels() const;
+  /// Models that are ready or on their way.
+  std::set<std::string> heldModels() const;
   std::size_t modelCount() const;
 
   /// Memory that is or may be taken, in megabytes.
--- a/src/serving/internal/engineledger.cpp
+++ b/src/serving/internal/engineledger.cpp
@@ -360,6 +360,30 @@
   return models;
 }
 
+std::set<std::string>
+EngineLedger::heldModels() const
+{
+  std::set<std::string> models;
+  for (const auto& model : readyModels()) {
+    models.insert(model);
+  }
+  const auto add_load = [&](const PlacementOrder& aOrder) {
+    if (aOrder.kind == OrderKind::Load && aOrder.model.adapter.empty()) {
+      models.insert(aOrder.model.model);
+    }
+  };
+  if (mPending) {
+    add_load(mPending->order);
+  }
+  if (mCall) {
+    add_load(*mCall);
+  }
+  if (mUnknown) {
+    add_load(*mUnknown);
+  }
+  return models;
+}
+
 std::size_t
 EngineLedger::modelCount() const
 {
--- a/src/serving/internal/placementplanner.cpp
+++ b/src/serving/internal/placementplanner.cpp
@@ -14,6 +14,8 @@
 constexpr double kLastCopyCost = 1.0;
 // Cost of a surplus copy for each request in progress that the other copies take over.
 constexpr double kSurplusRequestCost = 0.02;
+// Pause between two copies for later, whose choice looks at all engines.
+constexpr Duration kStoreCopyPause = 500ms;
 // One place in this many goes to the earliest deadline.
 constexpr std::uint64_t kPlacesPerLateOne = 2;
 // Cost, in seconds, of removing a model that was asked for just now; falls to zero with
@@ -120,31 +122,51 @@
   return found == mDemand.end() ? Demand{} : found->second;
 }
 
+void
+PlacementPlanner::countCopies()
+{
+  mReadyCopies.clear();
+  mHeldCopies.clear();
+  mCopied.clear();
+  for (const auto& [id, engine] : mEngines) {
+    if (engine.leaving()) {
+      continue;
+    }
+    for (const auto& model : engine.readyModels()) {
+      ++mReadyCopies[model];
+    }
+    for (const auto& model : engine.heldModels()) {
+      ++mHeldCopies[model];
+      mCopied.insert(model);
+    }
+    mCopied.merge(engine.copies());
+  }
+  for (const auto& [id, model] : mSwaps) {
+    const auto engine = mEngines.find(id);
+    if (engine != mEngines.end() && !engine->second.holds(model)) {
+      ++mHeldCopies[model];
+    }
+  }
+}
+
 std::uint32_t
 PlacementPlanner::readyCopies(const std::string& aModel) const
 {
-  return static_cast<std::uint32_t>(std::ranges::count_if(
-    mEngines, [&](const auto& aItem) { return aItem.second.ready(aModel); }));
+  const auto found = mReadyCopies.find(aModel);
+  return found == mReadyCopies.end() ? 0 : found->second;
 }
 
 std::uint32_t
 PlacementPlanner::heldCopies(const std::string& aModel) const
 {
-  const auto held = std::ranges::count_if(mEngines, [&](const auto& aItem) {
-    return !aItem.second.leaving() && aItem.second.holds(aModel);
-  });
-  const auto coming = std::ranges::count_if(
-    mSwaps, [&](const auto& aSwap) { return aSwap.second == aModel; });
-  return static_cast<std::uint32_t>(held + coming);
+  const auto found = mHeldCopies.find(aModel);
+  return found == mHeldCopies.end() ? 0 : found->second;
 }
 
 bool
 PlacementPlanner::copyAnywhere(const std::string& aModel) const
 {
-  return std::ranges::any_of(mEngines, [&](const auto& aItem) {
-    const auto& engine = aItem.second;
-    return !engine.leaving() && (engine.holds(aModel) || engine.hasCopy(aModel));
-  });
+  return mCopied.contains(aModel);
 }
 
 std::uint32_t
@@ -270,6 +292,12 @@
   if (aKind == OrderKind::Unload && aModel.adapter.empty()) {
     aEngine.expectRuns(demandOf(aModel).inFlight > 0);
   }
+  if (aModel.adapter.empty() && aKind == OrderKind::Unload) {
+    mReadyCopies[aModel.model] -= std::min(1U, mReadyCopies[aModel.model]);
+    mHeldCopies[aModel.model] -= std::min(1U, mHeldCopies[aModel.model]);
+  } else if (aModel.adapter.empty() && !mSwaps.contains(aEngine.id())) {
+    ++mHeldCopies[aModel.model];
+  }
   aOrders.push_back(aEngine.makeOrder(aKind, aModel));
   aEngine.orderSent(aOrders.back(), aNow);
 }
@@ -285,6 +313,7 @@
     return;
   }
   mSwaps[aPlace.engine->id()] = aModel;
+  ++mHeldCopies[aModel];
   send(*aPlace.engine, OrderKind::Unload, { aPlace.victim, "" }, aNow, aOrders);
 }
 
@@ -440,7 +469,7 @@
       continue;
     }
     const std::uint32_t copies = heldCopies(key.model);
-    const double load = static_cast<double>(demand.inFlight + demand.waiting);
+    const auto load = static_cast<double>(demand.inFlight + demand.waiting);
     if (copies == 0 ||
         load / copies <= std::min(mOptions.requestsPerCopy, mProfile.concurrency / 2.0)) {
       continue;
@@ -484,21 +513,20 @@
 void
 PlacementPlanner::copyFromStore(Instant aNow, std::vector<PlacementOrder>& aOrders)
 {
-  for (const auto& [model, profile] : mProfile.models) {
-    if (!storeLoadAllowed(aNow)) {
-      return;
-    }
-    if (copyAnywhere(model) || heldCopies(model) > 0) {
-      continue;
-    }
-    const auto place = bestPlace(model, true, aNow);
-    if (!place) {
-      return;
-    }
-    // A copy for later is not worth the only ready copy of another model.
-    if (place->cost - toSeconds(place->readyIn) < kLastCopyCost) {
-      occupy(*place, model, aNow, aOrders);
-    }
+  if (aNow < mNextStoreCopy || !storeLoadAllowed(aNow)) {
+    return;
+  }
+  mNextStoreCopy = aNow + kStoreCopyPause;
+  const auto missing = std::ranges::find_if(mProfile.models, [&](const auto& aModel) {
+    return !copyAnywhere(aModel.first) && heldCopies(aModel.first) == 0;
+  });
+  if (missing == mProfile.models.end()) {
+    return;
+  }
+  const auto place = bestPlace(missing->first, true, aNow);
+  // A copy for later is not worth the only ready copy of another model.
+  if (place && place->cost - toSeconds(place->readyIn) < kLastCopyCost) {
+    occupy(*place, missing->first, aNow, aOrders);
   }
 }
 
@@ -510,6 +538,7 @@
   for (auto& [id, engine] : mEngines) {
     engine.assumeLoaded(aNow);
   }
+  countCopies();
   repeatUnknown(aNow, orders);
   continueSwaps(aNow, orders);
   placeAdapters(aNow, orders);
--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -118,6 +119,7 @@
 
   Demand demandOf(const ModelKey& aKey) const;
   void collectDemand(Instant aNow);
+  void countCopies();
   std::uint32_t readyCopies(const std::string& aModel) const;
   std::uint32_t heldCopies(const std::string& aModel) const;
   bool copyAnywhere(const std::string& aModel) const;
@@ -157,6 +159,11 @@
   std::map<ModelKey, Demand> mDemand;
   std::map<std::string, Instant> mLastRequest;
   std::map<ModelKey, Instant> mLastAdapterRequest;
+  // Copies at engines that stay, as of the start of the plan and kept up with its orders.
+  std::map<std::string, std::uint32_t> mReadyCopies;
+  std::map<std::string, std::uint32_t> mHeldCopies;
+  std::set<std::string> mCopied; // models with a checkpoint copy at any engine
+  Instant mNextStoreCopy{};
   std::map<std::string, std::string> mSwaps; // engine to the model that gets the place
   std::deque<Instant> mStoreLoadStarts;
   std::uint64_t mPlaced = 0; // models placed for waiting callers
--- a/src/serving/tests/placementplannertest.cpp
+++ b/src/serving/tests/placementplannertest.cpp
@@ -208,6 +208,64 @@
   LONGS_EQUAL(0, world.overcommits);
 }
 
+// Load pattern: late callers wait for some models while new ones arrive for others all
+// the time, more than the engines can load. Guards against models that are never loaded.
+TEST(PlacementPlanner, NewCallersKeepArriving_LateOnesAreServedToo)
+{
+  for (int at = 0; at < 10; ++at) {
+    world.addModel("rare" + std::to_string(at));
+  }
+  auto& engine = world.addEngine("u1", { "a", "b", "c" });
+  for (int at = 0; at < 10; ++at) {
+    engine.onDisk.insert("rare" + std::to_string(at));
+  }
+  world.run(2s);
+  auto late = EngineWorld::waiting("rare0");
+  late.deadline = 5s;
+  std::optional<Duration> time;
+  const Instant start = world.now;
+  for (int at = 1; at < 8 && !time; ++at) {
+    auto fresh = EngineWorld::waiting("rare" + std::to_string(at));
+    fresh.inTime = 4s;
+    fresh.deadline = 20s;
+    world.setDemand("h", { late, fresh });
+    world.run(2s);
+    if (engine.models.contains("rare0")) {
+      time = world.now - start;
+    }
+  }
+  CHECK_TRUE(time.has_value());
+}
+
+// Load pattern: the largest deployment, with many models wanted at once.
+TEST(PlacementPlanner, ManyEnginesAndModels_WantedOnesAreLoaded)
+{
+  for (int at = 0; at < 750; ++at) {
+    world.addModel("many" + std::to_string(at));
+  }
+  for (int at = 0; at < 140; ++at) {
+    auto& engine = world.addEngine("u" + std::to_string(at),
+                                   { "many" + std::to_string(at),
+                                     "many" + std::to_string(at + 140),
+                                     "many" + std::to_string(at + 280) });
+    for (int copy = 0; copy < 15; ++copy) {
+      engine.onDisk.insert("many" + std::to_string((at * 7 + copy * 31) % 750));
+    }
+  }
+  std::vector<DemandItem> items;
+  for (int at = 0; at < 60; ++at) {
+    items.push_back(EngineWorld::waiting("many" + std::to_string(at * 11)));
+  }
+  world.setDemand("h", items);
+  world.run(3s);
+  int held = 0;
+  for (const auto& item : items) {
+    held += world.copiesOf(item.model.model) > 0 ? 1 : 0;
+  }
+  CHECK_TRUE(held > 50);
+  LONGS_EQUAL(0, world.overcommits);
+}
+
 // An engine that restarts empty gets back what has no other copy.
 TEST(PlacementPlanner, EngineRestartsEmpty_ModelsComeBackFromItsDisk)
 {
