--- a/src/gateway/internal/upstreamboard.cpp
+++ b/src/gateway/internal/upstreamboard.cpp
@@ -86,7 +86,7 @@
     return true;
   }
   const auto replicas = mReplicas.find(aEntry.id);
-  if (replicas != mReplicas.end() && mLeaderHeard && aNow - *mLeaderHeard < kLeaderLife) {
+  if (replicas != mReplicas.end() && leaderIsFresh(aNow)) {
     return std::ranges::any_of(replicas->second.list, [&](const auto& aReplica) {
       return aReplica.model == aModel.model &&
              aReplica.phase == serving::ReplicaPhase::Ready &&
@@ -101,6 +101,19 @@
   });
 }
 
+bool
+UpstreamBoard::leaderIsFresh(Instant aNow) const
+{
+  return mLeaderHeard && aNow - *mLeaderHeard < kLeaderLife;
+}
+
+std::uint32_t
+UpstreamBoard::othersLoad(const std::string& aUpstream, Instant aNow) const
+{
+  const auto found = mOtherLoads.find(aUpstream);
+  return found == mOtherLoads.end() || !leaderIsFresh(aNow) ? 0 : found->second;
+}
+
 bool
 UpstreamBoard::usable(const serving::UpstreamEntry& aEntry,
                       const Query& aQuery,
@@ -110,8 +123,7 @@
       aQuery.excluded.contains(aEntry.id) || !holds(aEntry, aQuery.model, aNow)) {
     return false;
   }
-  const auto others = mOtherLoads.find(aEntry.id);
-  const std::uint32_t others_load = others == mOtherLoads.end() ? 0 : others->second;
+  const std::uint32_t others_load = othersLoad(aEntry.id, aNow);
   const std::uint32_t most = std::max(1U, aEntry.concurrency) * kMostBatches;
   const auto found = mExperience.find(aEntry.id);
   if (found == mExperience.end()) {
@@ -136,9 +148,7 @@
     const auto experience = mExperience.find(id);
     routing::Candidate candidate;
     candidate.upstream = id;
-    if (const auto others = mOtherLoads.find(id); others != mOtherLoads.end()) {
-      candidate.reportedLoad = others->second;
-    }
+    candidate.reportedLoad = othersLoad(id, aNow);
     candidate.sameDataCentre = entry.dataCentre == mDataCentre;
     if (experience != mExperience.end()) {
       candidate.ownInFlight = experience->second.inFlight;
--- a/src/gateway/tests/codectest.cpp
+++ b/src/gateway/tests/codectest.cpp
@@ -123,6 +123,7 @@
 {
   add("u1", "m");
   add("u2", "m");
+  board.leaderHeard(now);
   board.setLoads({ { "u1", 12 }, { "u2", 1 } });
   for (int at = 0; at < 4; ++at) {
     STRCMP_EQUAL("u2", choose("m")->c_str());
@@ -136,10 +137,14 @@
 {
   add("u1", "m");
   add("u2", "m");
+  board.leaderHeard(now);
   board.setLoads({ { "u1", 8 }, { "u2", 8 } });
   CHECK_FALSE(choose("m").has_value());
   board.setLoads({ { "u1", 8 }, { "u2", 7 } });
   STRCMP_EQUAL("u2", choose("m")->c_str());
+  board.setLoads({ { "u1", 8 }, { "u2", 8 } });
+  now += 5s; // loads told by a leader that has gone are not kept for good
+  CHECK_TRUE(choose("m").has_value());
 }
 
 // Guards against the views of a leader that has been followed by another.
--- a/src/gateway/upstreamboard.h
+++ b/src/gateway/upstreamboard.h
@@ -93,6 +93,8 @@
   bool holds(const serving::UpstreamEntry& aEntry,
              const serving::ModelKey& aModel,
              Instant aNow) const;
+  bool leaderIsFresh(Instant aNow) const;
+  std::uint32_t othersLoad(const std::string& aUpstream, Instant aNow) const;
   bool usable(const serving::UpstreamEntry& aEntry,
               const Query& aQuery,
               Instant aNow) const;
