--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -51,6 +51,8 @@
     Duration idleAfter = 10s;
     /// Copies kept of a model with recent requests, so that one engine may fail.
     std::uint32_t copiesOfBusy = 2;
+    /// Added to the time of a load whose place is still used by running requests.
+    Duration runningRequestsTime = 1500ms;
     /// Demand of a host that has not reported for this long is dropped.
     Duration demandLife = 3s;
   };
