--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -230,6 +230,28 @@
   CHECK_TRUE(caller->received().find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against a caller that does not read and fills the memory.
+TEST(Inbound, CallerDoesNotRead_UnsentBytesAreToldUntilItReads)
+{
+  constexpr std::size_t kBytes = 16UL * 1024 * 1024; // more than both socket buffers
+  handler.keep = true;
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(until([&] { return handler.kept != nullptr; }));
+  caller->pause(true);
+  bool drained = false;
+  handler.kept->onDrained([&] { drained = true; });
+  link::ResponseHead head;
+  head.status = 200;
+  head.framing = link::Framing::Chunked;
+  handler.kept->sendHead(head);
+  handler.kept->sendData(std::string(kBytes, 'x'));
+  CHECK_TRUE(handler.kept->unsentBytes() > 0);
+  CHECK_FALSE(drained);
+  caller->pause(false);
+  CHECK_TRUE(until([&] { return drained; }));
+  LONGS_EQUAL(0, handler.kept->unsentBytes());
+}
+
 TEST_GROUP(Outbound)
 {
   std::unique_ptr<event::Loop> loop;
@@ -385,6 +407,41 @@
   LONGS_EQUAL(2, peer->requests().size());
 }
 
+// Guards against another request's bytes where the rest of a body is due.
+TEST(Outbound, AnsweredBeforeLongBodyIsRead_ConnectionNotUsedAgain)
+{
+  answerWith("");
+  exchange = {};
+  connection = pool->take("u", { "127.0.0.1", peer->port() }, 4).connection;
+  const std::size_t size = 16UL * 1024 * 1024;
+  connection->send("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(size) +
+                     "\r\n\r\n" + std::string(size, 'x'),
+                   false,
+                   exchange);
+  CHECK_TRUE(until([&] { return peer->connections() == 1; }));
+  peer->connection(0).pause(true);
+  peer->connection(0).send(rawResponse(413, "", "too long"));
+  CHECK_TRUE(until([&] { return exchange.done(); }));
+  LONGS_EQUAL(413, exchange.status);
+  CHECK_TRUE(connection->closed());
+  pool->giveBack("u", connection);
+}
+
+TEST(Outbound, Paused_NothingIsDeliveredUntilResumed)
+{
+  answerWith(rawResponse(200, "", "body"));
+  exchange = {};
+  connection = pool->take("u", { "127.0.0.1", peer->port() }, 4).connection;
+  connection->send("GET / HTTP/1.1\r\n\r\n", false, exchange);
+  connection->pause(true);
+  const Instant end = loop->now() + 100ms;
+  until([&] { return loop->now() >= end; });
+  CHECK_FALSE(exchange.done());
+  connection->pause(false);
+  CHECK_TRUE(until([&] { return exchange.finished; }));
+  pool->giveBack("u", connection);
+}
+
 TEST(Outbound, NothingListens_NotConnected)
 {
   const auto port = testing::freePort();
--- a/src/testing/internal/scriptedpeer.cpp
+++ b/src/testing/internal/scriptedpeer.cpp
@@ -66,6 +66,16 @@
   }
 }
 
+void
+RawConnection::pause(bool aPaused)
+{
+  mWatch.reset();
+  if (!aPaused) {
+    mWatch =
+      mLoop.watch(mSocket.fd(), { true, false }, [this](event::Interest) { read(); });
+  }
+}
+
 void
 RawConnection::close()
 {
--- a/src/testing/scriptedpeer.h
+++ b/src/testing/scriptedpeer.h
@@ -25,6 +25,9 @@
   void close();
   void reset();
 
+  /// Stops and resumes reading.
+  void pause(bool aPaused);
+
   const std::string& received() const { return mReceived; }
   void clear() { mReceived.clear(); }
   /// True once the other side has ended the connection.
