Remove dead state of the gateway; read marks and make news once

A response's marks were parsed twice, expected times and sums of loads computed twice for each message of news, a placement outcome was handed to planners in two ways, and four members were never used.

--- a/src/gateway/internal/call.cpp
+++ b/src/gateway/internal/call.cpp
@@ -215,15 +215,14 @@
 bool
 Call::ownsResponse(const link::ResponseHead& aHead)
 {
-  const auto marks = mContext.protocol.readMarks(aHead);
-  return marks.callId.empty() || marks.callId == mDetails.id;
+  mMarks = mContext.protocol.readMarks(aHead);
+  return mMarks.callId.empty() || mMarks.callId == mDetails.id;
 }
 
 void
 Call::responseStarted(const link::ResponseHead& aHead)
 {
   mHead = aHead;
-  mMarks = mContext.protocol.readMarks(aHead);
   const bool success = aHead.status / 100 == 2;
   // A response that names no request, or that nobody vouches for, is not handed on.
   // Nor is a failure in the middle of a stream that is being resumed.
@@ -253,8 +252,7 @@
       self->mConnection->pause(false);
     }
   });
-  link::ResponseHead head = mHead;
-  mCaller->sendHead(head);
+  mCaller->sendHead(mHead);
 }
 
 void
--- a/src/gateway/internal/callboard.cpp
+++ b/src/gateway/internal/callboard.cpp
@@ -145,11 +145,8 @@
     return;
   }
   mWaiting.push_back(aCall.shared_from_this());
-  if (!aCall.model().model.empty()) {
-    mNewDemand = true;
-    if (mOnDemand) {
-      mOnDemand();
-    }
+  if (!aCall.model().model.empty() && mOnDemand) {
+    mOnDemand();
   }
 }
 
@@ -242,7 +239,6 @@
     item.model = key;
     demand.push_back(std::move(item));
   }
-  mNewDemand = false;
   return demand;
 }
 
--- a/src/gateway/internal/callboard.h
+++ b/src/gateway/internal/callboard.h
@@ -49,8 +49,6 @@
 
   /// Demand since the last call of this method.
   std::vector<serving::DemandItem> takeDemand();
-  /// True if a request waits for a model that no earlier report named.
-  bool hasNewDemand() const { return mNewDemand; }
 
   std::size_t active() const { return mCalls.size(); }
   std::size_t waiting() const { return mWaiting.size(); }
@@ -91,7 +89,6 @@
   bool mStopping = false;
   bool mRefusing = false;
   bool mRetryPosted = false;
-  bool mNewDemand = false;
 };
 
 } // namespace savoryrill::gateway
--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -205,8 +205,8 @@
   }
 }
 
-void
-LeaderTask::addNews(peer::Delta& aDelta)
+LeaderNews
+LeaderTask::makeNews()
 {
   LeaderNews news;
   news.host = mSettings.host;
@@ -215,13 +215,19 @@
   news.waits = waits();
   news.loads = loadsOfAll();
   news.rowVersion = mLeadership.base();
+  return news;
+}
+
+void
+LeaderTask::addNews(peer::Delta& aDelta, const LeaderNews& aNews)
+{
   auto* entry = aDelta.add_entries();
   entry->set_kind(peer::ENTRY_KIND_LEADER);
   entry->set_key(mSettings.host);
   entry->set_origin(mSettings.host);
   entry->set_epoch(mLeadership.fencing());
   entry->set_sequence(++mSequence);
-  entry->set_payload(encodeLeaderNews(news));
+  entry->set_payload(encodeLeaderNews(aNews));
 }
 
 void
@@ -237,7 +243,7 @@
   }
   peer::Delta delta;
   addViews(delta, recent);
-  addNews(delta);
+  addNews(delta, makeNews());
   mPeers->send(aPeerId, delta);
 }
 
@@ -296,10 +302,11 @@
   mViewsSent = now;
   if (news_due) {
     mNewsSent = now;
-    mDependencies.board.setWaits(waits(), now);
-    mDependencies.board.setLoads(loadsOfAll());
+    const auto news = makeNews();
+    mDependencies.board.setWaits(news.waits, now);
+    mDependencies.board.setLoads(news.loads);
     mHandlers.hostsChanged(mHosts);
-    addNews(delta);
+    addNews(delta, news);
   }
   for (const auto& [id, remote] : mRemote) {
     mPeers->send(id, delta);
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -316,7 +316,7 @@
   if (mLeadership.mayOrder(now)) {
     for (auto& [group, planner] : mPlanners) {
       for (const auto& order : planner->plan(now)) {
-        sendOrder(*planner, order);
+        sendOrder(order);
       }
       for (const auto& id : planner->reportsWanted(now)) {
         readReport(id);
@@ -343,13 +343,14 @@
 }
 
 void
-LeaderTask::sendOrder(serving::PlacementPlanner& aPlanner,
-                      const serving::PlacementOrder& aOrder)
+LeaderTask::sendOrder(const serving::PlacementOrder& aOrder)
 {
   const auto* entry = mDependencies.board.directory().find(aOrder.upstream);
   const auto now = mDependencies.loop.now();
   if (entry == nullptr || !mLeadership.mayOrder(now)) {
-    aPlanner.orderDone(aOrder.upstream, serving::OrderOutcome::Rejected, now);
+    for (auto& [group, planner] : mPlanners) {
+      planner->orderDone(aOrder.upstream, serving::OrderOutcome::Rejected, now);
+    }
     return;
   }
   mDependencies.metrics.add("savoryrill_gateway_orders_total{kind=\"" +
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -96,14 +96,14 @@
   void planSoon();
   void plan();
   void planWhenDue();
-  void sendOrder(serving::PlacementPlanner& aPlanner,
-                 const serving::PlacementOrder& aOrder);
+  void sendOrder(const serving::PlacementOrder& aOrder);
   void readReport(const std::string& aUpstream);
   void publishReplicas();
   void publishSoon(Duration aDelay);
   void sendRecentViews(std::uint64_t aPeerId);
   void addViews(peer::Delta& aDelta, const std::vector<std::string>& aUpstreams);
-  void addNews(peer::Delta& aDelta);
+  LeaderNews makeNews();
+  void addNews(peer::Delta& aDelta, const LeaderNews& aNews);
   std::map<std::string, Duration> waits();
   serving::PlacementPlanner* plannerOf(const std::string& aGroup);
 
--- a/src/serving/engineledger.h
+++ b/src/serving/engineledger.h
@@ -82,7 +82,6 @@
   std::vector<std::string> readyModels() const;
   /// Models that are ready or on their way.
   std::set<std::string> heldModels() const;
-  std::size_t modelCount() const;
 
   /// Memory that is or may be taken, in megabytes.
   double memoryUsedMb() const;
--- a/src/serving/internal/engineledger.cpp
+++ b/src/serving/internal/engineledger.cpp
@@ -384,12 +384,6 @@
   return models;
 }
 
-std::size_t
-EngineLedger::modelCount() const
-{
-  return mModels.size();
-}
-
 double
 EngineLedger::memoryUsedMb() const
 {
--- a/src/serving/upstreamdirectory.h
+++ b/src/serving/upstreamdirectory.h
@@ -64,8 +64,6 @@
   const UpstreamEntry* find(const std::string& aId) const;
   const std::map<std::string, UpstreamEntry>& entries() const { return mEntries; }
 
-  std::optional<Instant> lastRead() const { return mLastRead; }
-
 private:
   bool afterOutage(Instant aNow) const;
 
