Log errors between gateways, of lease calls and of reports

Change: events 4118 to 4120; failed lease calls make one line an outage. No test of its own yet for these lines.

--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/leadertask.h"
 
+#include "gateway/types/gatewayevents.h"
+
 // What the leader and the other hosts tell each other: demand and loads one way, replica
 // views, expected times and sums of loads the other.
 
@@ -42,17 +44,25 @@
     if (entry.kind() == peer::ENTRY_KIND_DEMAND && mLeading) {
       const auto demand = decodeDemand(entry.payload());
       if (!demand) {
-        mDependencies.metrics.add("savoryrill_gateway_bad_peer_entries_total");
+        noteBadEntry(aPeer, demand.error());
         continue;
       }
       takeDemand(aPeer.host, demand.value());
     }
   }
   if (!mLeading && mKnownLeader == aPeer.host) {
-    takeReplicas(aDelta);
+    takeReplicas(aPeer, aDelta);
   }
 }
 
+void
+LeaderTask::noteBadEntry(const transport::RemotePeer& aPeer, const Error& aError)
+{
+  mDependencies.metrics.add("savoryrill_gateway_bad_peer_entries_total");
+  mDependencies.log.write(kPeerEntryBad,
+                          { { "host", aPeer.host }, { "reason", aError.message } });
+}
+
 void
 LeaderTask::demandAppeared()
 {
@@ -112,7 +122,7 @@
 }
 
 void
-LeaderTask::takeReplicas(const peer::Delta& aDelta)
+LeaderTask::takeReplicas(const transport::RemotePeer& aPeer, const peer::Delta& aDelta)
 {
   const auto now = mDependencies.loop.now();
   mDependencies.board.leaderHeard(now);
@@ -125,6 +135,8 @@
     if (entry.kind() == peer::ENTRY_KIND_UPSTREAM) {
       if (auto replicas = decodeReplicas(entry.payload())) {
         mDependencies.board.setReplicas(entry.key(), std::move(replicas.value()), now);
+      } else {
+        noteBadEntry(aPeer, replicas.error());
       }
     } else if (entry.kind() == peer::ENTRY_KIND_LEADER) {
       if (auto news = decodeLeaderNews(entry.payload())) {
@@ -137,6 +149,8 @@
         mDependencies.board.setWaits(std::move(news.value().waits), now);
         mDependencies.board.setLoads(news.value().loads);
         mHandlers.hostsChanged(news.value().hosts);
+      } else {
+        noteBadEntry(aPeer, news.error());
       }
     }
   }
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -199,6 +199,7 @@
   mDependencies.store.readRow(
     kLeaderTable, kLeaderKey, [this](Result<std::optional<StoredRow>> aRow) {
       const auto now = mDependencies.loop.now();
+      noteLeaseCall(LeadershipStep::Read, aRow ? nullptr : &aRow.error());
       if (!aRow) {
         mLeadership.failed(now);
         return;
@@ -224,21 +225,35 @@
   const auto row = mLeadership.rowFor(aStep, term);
   const auto base = mLeadership.base();
   mLeadership.sent(aStep, row.term, mDependencies.loop.now());
-  mDependencies.store.writeRow(kLeaderTable,
-                               { kLeaderKey, encodeLeaderRow(row), 0, false },
-                               base,
-                               [this, aStep, row](Result<std::uint64_t> aVersion) {
-                                 const auto now = mDependencies.loop.now();
-                                 if (aVersion) {
-                                   mLeadership.written(aStep, row, aVersion.value(), now);
-                                 } else if (aVersion.error().code ==
-                                            ErrorCode::Unavailable) {
-                                   mLeadership.failed(now);
-                                 } else {
-                                   mLeadership.uncertain(now);
-                                 }
-                                 rowChanged();
-                               });
+  mDependencies.store.writeRow(
+    kLeaderTable,
+    { kLeaderKey, encodeLeaderRow(row), 0, false },
+    base,
+    [this, aStep, row](Result<std::uint64_t> aVersion) {
+      const auto now = mDependencies.loop.now();
+      noteLeaseCall(aStep, aVersion ? nullptr : &aVersion.error());
+      if (aVersion) {
+        mLeadership.written(aStep, row, aVersion.value(), now);
+      } else if (aVersion.error().code == ErrorCode::Unavailable) {
+        mLeadership.failed(now);
+      } else {
+        mLeadership.uncertain(now);
+      }
+      rowChanged();
+    });
+}
+
+void
+LeaderTask::noteLeaseCall(LeadershipStep aStep, const Error* aError)
+{
+  // One line for each outage: the calls are repeated several times a second.
+  if (aError != nullptr && !mLeaseCallFailed) {
+    mDependencies.log.write(kLeaseCallFailed,
+                            { { "step", nameOf(aStep) },
+                              { "error", nameOf(aError->code) },
+                              { "reason", aError->message } });
+  }
+  mLeaseCallFailed = aError != nullptr;
 }
 
 void
@@ -418,6 +433,11 @@
       if (aResponse && aResponse.value().head.status == 200) {
         report = mDependencies.protocol.readReport(aResponse.value().body);
       }
+      if (!report) {
+        mDependencies.log.write(
+          kReportFailed,
+          { { "upstream", aUpstream }, { "reason", report.error().message } });
+      }
       for (auto& [group, planner] : mPlanners) {
         if (report) {
           planner->reportRead(aUpstream, report.value(), sent, now);
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -85,13 +85,15 @@
   void readRow();
   void writeRow(serving::LeadershipStep aStep);
   void rowChanged();
+  void noteLeaseCall(serving::LeadershipStep aStep, const Error* aError);
+  void noteBadEntry(const transport::RemotePeer& aPeer, const Error& aError);
   void followEndpoint();
 
   void reportDemand();
   void takeDemand(const std::string& aHost, const HostDemand& aDemand);
   std::map<std::string, std::uint32_t> loadsOfAll() const;
   void announceRelease();
-  void takeReplicas(const peer::Delta& aDelta);
+  void takeReplicas(const transport::RemotePeer& aPeer, const peer::Delta& aDelta);
 
   void planSoon();
   void plan();
@@ -130,6 +132,7 @@
   bool mStopping = false;
   bool mPlanPosted = false;
   bool mDemandPosted = false;
+  bool mLeaseCallFailed = false; // since the last success
   std::uint64_t mSequence = 0;
   std::uint32_t mHosts = 0;
   std::optional<Instant> mDemandSent;
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -106,5 +106,23 @@
   "caller-rejected",
   "Bytes of a caller were refused before they made a whole request."
 };
+inline constexpr EventDefinition kPeerEntryBad{
+  4118,
+  Severity::Warning,
+  "peer-entry-bad",
+  "An entry from another gateway cannot be read and is ignored."
+};
+inline constexpr EventDefinition kLeaseCallFailed{
+  4119,
+  Severity::Warning,
+  "lease-call-failed",
+  "A call for the leader row failed, the first one since a success; `step` names it."
+};
+inline constexpr EventDefinition kReportFailed{
+  4120,
+  Severity::Warning,
+  "report-failed",
+  "An engine's report could not be read; `reason` says why."
+};
 
 } // namespace savoryrill::gateway
