--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -16,6 +16,7 @@
 constexpr IntegerRange kLogRate{ 1024, 100'000'000 };
 constexpr Range<double> kShare{ 0.0, 10.0 };
 constexpr Range<double> kReserve{ 0.0, 1'000'000.0 };
+constexpr Range<double> kLinkMbps{ 0.0, 10'000'000.0 };
 
 class GatewaySettingsReader
 {
@@ -45,6 +46,7 @@
     mRoot.real("retry_share", mSettings.retryShare, kShare);
     mRoot.real("retry_reserve", mSettings.retryReserve, kReserve);
     mRoot.integer("max_connections", mSettings.maxConnections, kConnections);
+    mRoot.real("link_mbps", mSettings.linkMbps, kLinkMbps);
     mRoot.finish();
     return std::move(mSettings);
   }
--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -54,6 +54,17 @@
   CHECK_TRUE(config::hasErrors(config::checkGatewaySettings("s", text).findings));
 }
 
+TEST(GatewaySettings, LinkBandwidth_ReadOrReported)
+{
+  auto text = whole;
+  const std::string key = R"("link_mbps": )";
+  text.insert(text.find('{') + 1, key + "10,");
+  DOUBLES_EQUAL(10, config::checkGatewaySettings("s", text).settings.linkMbps, 0.01);
+  DOUBLES_EQUAL(0, config::checkGatewaySettings("s", whole).settings.linkMbps, 0.01);
+  text.replace(text.find(key) + key.size(), 2, "-1");
+  CHECK_TRUE(mentions(config::checkGatewaySettings("s", text), "link_mbps"));
+}
+
 TEST(GatewaySettings, FileIsMissing_NotFound)
 {
   const auto read = config::readGatewaySettings("/nonexistent/settings.jsonc");
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -15,12 +15,19 @@
 constexpr const char* kLeaderKey = "placement";
 // Period of all checks; also the least time between two plans without news.
 constexpr Duration kTickPeriod = 100ms;
+// Least time between two plans. One takes 0.8 ms for 140 engines and 750 models, and news
+// that call for one arrive some hundred times a second there.
+constexpr Duration kPlanPause = 15ms;
 // Demand is reported at once when it appears, and again after this time.
 constexpr Duration kDemandPeriod = 400ms;
 constexpr Duration kOrderTimeout = 700ms;
 constexpr Duration kReportTimeout = 500ms;
 constexpr Duration kPeerHeartbeat = 500ms;
 constexpr Duration kPeerTimeout = 1500ms;
+// A leader of 64 hosts sends about 5 Mbit/s; hosts with less than ten times that leave a
+// free lease to others for the time in which these read the row twice.
+constexpr double kLeaderLinkMbps = 50;
+constexpr Duration kNarrowTakeDelay = 1s;
 constexpr std::uint64_t kTermLimit = 0xFFFFFFFFFFFFULL;
 
 transport::LocalPeer
@@ -44,6 +51,9 @@
   options.host = aSettings.host;
   options.endpoint = link::toString(aSettings.peerAddress);
   options.turnTime = aSettings.orderTurnTime;
+  if (aSettings.linkMbps > 0 && aSettings.linkMbps < kLeaderLinkMbps) {
+    options.takeDelay = kNarrowTakeDelay;
+  }
   return options;
 }
 
@@ -311,14 +321,16 @@
 void
 LeaderTask::planSoon()
 {
-  if (mPlanPosted) {
+  if (mPaceTimer) {
     return;
   }
-  mPlanPosted = true;
-  mDependencies.loop.post([this] {
-    mPlanPosted = false;
-    plan();
-  });
+  const auto now = mDependencies.loop.now();
+  const Duration since = mPlanned ? now - *mPlanned : kPlanPause;
+  mPaceTimer =
+    mDependencies.loop.after(std::max(Duration::zero(), kPlanPause - since), [this] {
+      mPaceTimer.reset();
+      plan();
+    });
 }
 
 void
@@ -328,6 +340,7 @@
   if (!mLeading || !mLeadership.leads(now)) {
     return;
   }
+  mPlanned = now;
   if (mLeadership.mayOrder(now)) {
     for (auto& [group, planner] : mPlanners) {
       for (const auto& order : planner->plan(now)) {
@@ -353,7 +366,7 @@
   }
   // What is due later than the next tick is found there.
   if (next && *next > now && *next - now < kTickPeriod) {
-    mPlanTimer = mDependencies.loop.after(*next - now + 1ms, [this] { plan(); });
+    mPlanTimer = mDependencies.loop.after(*next - now + 1ms, [this] { planSoon(); });
   }
 }
 
@@ -404,7 +417,7 @@
       for (auto& [group, planner] : mPlanners) {
         planner->orderDone(aOrder.upstream, outcome, mDependencies.loop.now());
       }
-      plan();
+      planSoon();
     });
 }
 
@@ -446,7 +459,7 @@
           planner->reportFailed(aUpstream, now);
         }
       }
-      plan();
+      planSoon();
     });
 }
 
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -130,7 +130,7 @@
   std::string mKnownLeader;
   bool mLeading = false;
   bool mStopping = false;
-  bool mPlanPosted = false;
+  std::optional<Instant> mPlanned; // when the last plan was made
   bool mDemandPosted = false;
   bool mLeaseCallFailed = false; // since the last success
   std::uint64_t mSequence = 0;
@@ -141,6 +141,7 @@
   std::uint64_t mFollowedFencing = 0;
   event::Watch mTimer;
   event::Watch mPlanTimer;
+  event::Watch mPaceTimer;
   event::Watch mPublishTimer;
 };
 
--- a/src/serving/engineledger.h
+++ b/src/serving/engineledger.h
@@ -65,6 +65,9 @@
   void reportRequested(Instant aNow);
   void reportFailed(Instant aNow) { mReportSent = aNow; }
 
+  /// Grows with each change of what the other accessors tell.
+  std::uint64_t revision() const { return mRevision; }
+
   const std::string& id() const { return mId; }
   std::int64_t born() const { return mBorn; }
   const std::string& dataCentre() const { return mDataCentre; }
@@ -137,6 +140,7 @@
   Instant mLastChange{};
   bool mExpectsRuns = false;
   std::uint32_t mLoad = 0;
+  std::uint64_t mRevision = 0;
 };
 
 } // namespace savoryrill::serving
--- a/src/serving/internal/engineledger.cpp
+++ b/src/serving/internal/engineledger.cpp
@@ -46,6 +46,7 @@
 void
 EngineLedger::listed(const UpstreamEntry& aEntry, Instant aNow)
 {
+  ++mRevision;
   mLeaving = mLeaving || aEntry.leaving;
   const auto& report = aEntry.engine;
   std::map<std::string, std::set<std::string>> models;
@@ -73,6 +74,7 @@
   if (aReport.ordersAccepted < mOrders) {
     return; // from before the last accepted order
   }
+  ++mRevision;
   mLoad = aReport.running + aReport.waiting;
   if (!aReport.inMemory.empty() || !aReport.onDisk.empty()) {
     mInMemory = aReport.inMemory;
@@ -156,6 +158,7 @@
 void
 EngineLedger::orderSent(const PlacementOrder& aOrder, Instant aNow)
 {
+  ++mRevision;
   mCall = aOrder;
   mCallSent = aNow;
 }
@@ -166,6 +169,7 @@
   if (!mCall) {
     return;
   }
+  ++mRevision;
   const auto order = *mCall;
   mCall.reset();
   const bool repeated = mUnknown.has_value();
@@ -181,8 +185,10 @@
       mSettled = false; // the own picture was wrong
       break;
     case OrderOutcome::Conflict:
-      // Busy, or the count has moved on: a report tells when and what may be ordered.
+      // Busy, not reached, or the count has moved on: a report tells when and what may be
+      // ordered. An order that is repeated waits for its pause again.
       mSettled = false;
+      mUnknownSince = aNow;
       break;
     case OrderOutcome::Rejected:
     case OrderOutcome::WrongUpstream:
@@ -233,6 +239,7 @@
       mPending->source == CheckpointSource::Store || aNow < mPending->expectedEnd) {
     return;
   }
+  ++mRevision;
   const auto& model = mPending->order.model.model;
   mModels[model];
   mReadySince[model] = aNow;
--- a/src/serving/internal/leadership.cpp
+++ b/src/serving/internal/leadership.cpp
@@ -34,19 +34,29 @@
   if (aStopping) {
     return LeadershipStep::None;
   }
-  if (!mRow || mRow->released || mReleasedVersion == mRow->version) {
-    return LeadershipStep::Take;
-  }
   const bool heard = mHeard && aNow - *mHeard < mOptions.silence;
-  if (heard) {
+  const bool free = !mRow || mRow->released || mReleasedVersion == mRow->version;
+  if (heard && !free) {
     return LeadershipStep::None;
   }
-  if (aNow - mUnchangedSince >= mOptions.lease + mOptions.margin) {
+  if (mayTake(aNow)) {
     return LeadershipStep::Take;
   }
   return pause_over ? LeadershipStep::Read : LeadershipStep::None;
 }
 
+bool
+Leadership::mayTake(Instant aNow) const
+{
+  if (!mRow || mRow->released) {
+    return aNow - mUnchangedSince >= mOptions.takeDelay;
+  }
+  if (mReleasedVersion == mRow->version) {
+    return aNow - mHeardVersionSince >= mOptions.takeDelay;
+  }
+  return aNow - mUnchangedSince >= mOptions.lease + mOptions.margin + mOptions.takeDelay;
+}
+
 LeaderRow
 Leadership::rowFor(LeadershipStep aStep, const std::string& aTerm) const
 {
--- a/src/serving/internal/placementchoice.cpp
+++ b/src/serving/internal/placementchoice.cpp
@@ -28,8 +28,8 @@
                                  const std::string& aModel,
                                  Instant aNow) const
 {
-  const auto demand = demandOf({ aModel, "" });
-  const std::uint32_t copies = readyCopies(aModel);
+  const auto& demand = modelDemand(aModel);
+  const std::uint32_t copies = mCopies.readyCount(aModel);
   const auto since = aEngine.readySince(aModel);
   if (since && aNow - *since < mOptions.leastStay) {
     return std::nullopt;
@@ -81,7 +81,7 @@
   if (!least) {
     return std::nullopt;
   }
-  if (demandOf({ place.victim, "" }).inFlight > 0) {
+  if (modelDemand(place.victim).inFlight > 0) {
     place.readyIn += mOptions.runningRequestsTime;
   }
   place.cost = toSeconds(place.readyIn) + *least;
@@ -92,15 +92,24 @@
 PlacementPlanner::bestPlace(const std::string& aModel, bool aFromStore, Instant aNow)
 {
   std::optional<Place> best;
-  for (auto& [id, engine] : mEngines) {
-    const bool from_store = engine.sourceOf(aModel) == CheckpointSource::Store;
-    if (from_store && !aFromStore) {
-      continue;
-    }
-    const auto place = placeAt(engine, aModel, aNow);
-    if (place && (!best || place->cost < best->cost)) {
+  const auto consider = [&](EngineLedger& aEngine) {
+    const auto place = placeAt(aEngine, aModel, aNow);
+    // Equal costs are decided by name, so that the choice does not depend on the index.
+    if (place && (!best || place->cost < best->cost ||
+                  (place->cost == best->cost && aEngine.id() < best->engine->id()))) {
       best = place;
     }
+  };
+  if (aFromStore) {
+    for (auto& [id, engine] : mEngines) {
+      consider(engine);
+    }
+    return best;
+  }
+  for (auto* engine : mCopies.enginesWith(aModel)) {
+    if (engine->sourceOf(aModel) != CheckpointSource::Store) {
+      consider(*engine);
+    }
   }
   return best;
 }
@@ -118,16 +127,11 @@
     mStoreLoadStarts.push_back(aNow);
   }
   if (aKind == OrderKind::Unload && aModel.adapter.empty()) {
-    aEngine.expectRuns(demandOf(aModel).inFlight > 0);
-  }
-  if (aModel.adapter.empty() && aKind == OrderKind::Unload) {
-    mReadyCopies[aModel.model] -= std::min(1U, mReadyCopies[aModel.model]);
-    mHeldCopies[aModel.model] -= std::min(1U, mHeldCopies[aModel.model]);
-  } else if (aModel.adapter.empty() && !mSwaps.contains(aEngine.id())) {
-    ++mHeldCopies[aModel.model];
+    aEngine.expectRuns(modelDemand(aModel.model).inFlight > 0);
   }
   aOrders.push_back(aEngine.makeOrder(aKind, aModel));
   aEngine.orderSent(aOrders.back(), aNow);
+  mCopies.update(aEngine);
 }
 
 void
@@ -141,7 +145,8 @@
     return;
   }
   mSwaps[aPlace.engine->id()] = aModel;
-  ++mHeldCopies[aModel];
+  ++mSwapCopies[aModel];
+  mStoreSwaps += aPlace.engine->sourceOf(aModel) == CheckpointSource::Store ? 1 : 0;
   send(*aPlace.engine, OrderKind::Unload, { aPlace.victim, "" }, aNow, aOrders);
 }
 
@@ -152,6 +157,7 @@
     if (const auto* order = engine.orderToRepeat(aNow)) {
       aOrders.push_back(*order);
       engine.orderSent(aOrders.back(), aNow);
+      mCopies.update(engine);
     }
   }
 }
@@ -175,6 +181,8 @@
       }
       // Kept until the load is accepted, so that a refused one is ordered again.
       send(engine, OrderKind::Load, { swap->second, "" }, aNow, aOrders);
+      --mSwapCopies[swap->second];
+      mStoreSwaps -= engine.sourceOf(swap->second) == CheckpointSource::Store ? 1 : 0;
     }
     ++swap;
   }
@@ -183,13 +191,14 @@
 void
 PlacementPlanner::placeAdapters(Instant aNow, std::vector<PlacementOrder>& aOrders)
 {
-  for (const auto& item : mDemand) {
+  for (const auto& item : mAdapterDemand) {
     const ModelKey& key = item.first;
-    if (key.adapter.empty() || item.second.waiting == 0) {
+    if (item.second.waiting == 0) {
       continue;
     }
-    const bool held = std::ranges::any_of(mEngines, [&](const auto& aItem) {
-      return aItem.second.ready(key.model) && aItem.second.adapterHeld(key);
+    const auto& engines = mCopies.enginesWith(key.model);
+    const bool held = std::ranges::any_of(engines, [&](const auto* aEngine) {
+      return aEngine->ready(key.model) && aEngine->adapterHeld(key);
     });
     if (held) {
       continue;
@@ -199,27 +208,27 @@
     EngineLedger* target = nullptr;
     std::optional<ModelKey> victim;
     std::pair<std::size_t, Instant> best{ mProfile.adapterPlaces + 1UL, Instant::max() };
-    for (auto& [id, engine] : mEngines) {
-      if (!engine.ready(key.model) || !engine.mayOrder()) {
+    for (auto* engine : engines) {
+      if (!engine->ready(key.model) || !engine->mayOrder()) {
         continue;
       }
-      if (engine.adapterCount() < mProfile.adapterPlaces) {
-        const std::pair candidate{ engine.adapterCount(), Instant::min() };
+      if (engine->adapterCount() < mProfile.adapterPlaces) {
+        const std::pair candidate{ engine->adapterCount(), Instant::min() };
         if (candidate < best) {
           best = candidate;
-          target = &engine;
+          target = engine;
           victim.reset();
         }
         continue;
       }
-      for (const auto& adapter : engine.adapters()) {
-        const auto use = demandOf(adapter);
+      for (const auto& adapter : engine->adapters()) {
+        const auto& use = adapterDemand(adapter);
         const auto last = mLastAdapterRequest.find(adapter);
         const Instant used = last == mLastAdapterRequest.end() ? mStarted : last->second;
         const std::pair candidate{ std::size_t{ mProfile.adapterPlaces }, used };
         if (use.waiting == 0 && use.inFlight == 0 && candidate < best) {
           best = candidate;
-          target = &engine;
+          target = engine;
           victim = adapter;
         }
       }
@@ -248,14 +257,13 @@
     bool inTime = false; // a load that starts now can still meet an objective
   };
   std::vector<Wanted> wanted;
-  for (const auto& [key, demand] : mDemand) {
-    if (key.adapter.empty() && demand.waiting > 0 && heldCopies(key.model) == 0 &&
-        mProfile.models.contains(key.model)) {
-      const bool copied = copyAnywhere(key.model);
-      const auto& profile = mProfile.models.at(key.model);
+  for (const auto& [model, demand] : mModelDemand) {
+    if (demand.waiting > 0 && heldCopies(model) == 0 && mProfile.models.contains(model)) {
+      const bool copied = copyAnywhere(model);
+      const auto& profile = mProfile.models.at(model);
       const Duration load = copied ? profile.fromDisk : profile.fromStore;
       const bool in_time = demand.inTimeUntil && *demand.inTimeUntil - aNow > load;
-      wanted.push_back({ key.model, demand, copied, in_time });
+      wanted.push_back({ model, demand, copied, in_time });
     }
   }
   // Quick loads first; among them those that still meet an objective, then models with
@@ -292,22 +300,22 @@
 void
 PlacementPlanner::addCopies(Instant aNow, std::vector<PlacementOrder>& aOrders)
 {
-  for (const auto& [key, demand] : mDemand) {
-    if (!key.adapter.empty() || !mProfile.models.contains(key.model)) {
+  for (const auto& [model, demand] : mModelDemand) {
+    if (!mProfile.models.contains(model)) {
       continue;
     }
-    const std::uint32_t copies = heldCopies(key.model);
+    const std::uint32_t copies = heldCopies(model);
     const auto load = static_cast<double>(demand.inFlight + demand.waiting);
     if (copies == 0 ||
         load / copies <= std::min(mOptions.requestsPerCopy, mProfile.concurrency / 2.0)) {
       continue;
     }
-    auto place = bestPlace(key.model, false, aNow);
+    auto place = bestPlace(model, false, aNow);
     if (!place && storeLoadAllowed(aNow)) {
-      place = bestPlace(key.model, true, aNow);
+      place = bestPlace(model, true, aNow);
     }
     if (place) {
-      occupy(*place, key.model, aNow, aOrders);
+      occupy(*place, model, aNow, aOrders);
     }
   }
 }
@@ -316,7 +324,8 @@
 PlacementPlanner::restoreFromDisk(Instant aNow, std::vector<PlacementOrder>& aOrders)
 {
   for (auto& [id, engine] : mEngines) {
-    if (!engine.mayOrderModel(aNow) || engine.pending() || mSwaps.contains(id)) {
+    if (!engine.mayOrderModel(aNow) || engine.pending() || mSwaps.contains(id) ||
+        engine.memoryUsedMb() + mSmallestModelMb > mProfile.memoryMb) {
       continue;
     }
     std::optional<std::pair<Instant, std::string>> latest;
--- a/src/serving/internal/placementplanner.cpp
+++ b/src/serving/internal/placementplanner.cpp
@@ -15,6 +15,10 @@
 PlacementPlanner::setProfile(const EngineProfile& aProfile)
 {
   mProfile = aProfile;
+  mSmallestModelMb = mProfile.memoryMb;
+  for (const auto& [name, model] : mProfile.models) {
+    mSmallestModelMb = std::min(mSmallestModelMb, model.footprintMb);
+  }
 }
 
 void
@@ -26,6 +30,7 @@
     return;
   }
   mSwaps.erase(aEntry.id);
+  mCopies.remove(aEntry.id);
   auto& engine =
     mEngines.insert_or_assign(aEntry.id, EngineLedger(aEntry, mProfile)).first->second;
   engine.listed(aEntry, aNow);
@@ -34,6 +39,7 @@
 void
 PlacementPlanner::removeEngine(const std::string& aId)
 {
+  mCopies.remove(aId);
   mEngines.erase(aId);
   mSwaps.erase(aId);
 }
@@ -62,105 +68,87 @@
   }
 }
 
+void
+PlacementPlanner::addDemand(Demand& aDemand, const DemandItem& aItem, Instant aAt)
+{
+  if (aItem.waiting > 0) {
+    aDemand.priority =
+      aDemand.waiting == 0 ? aItem.priority : std::min(aDemand.priority, aItem.priority);
+    const Instant in_time = aAt + aItem.inTime;
+    aDemand.inTimeUntil =
+      aDemand.inTimeUntil ? std::max(*aDemand.inTimeUntil, in_time) : in_time;
+    if (aItem.deadline) {
+      const Instant deadline = aAt + *aItem.deadline;
+      aDemand.deadline =
+        aDemand.deadline ? std::min(*aDemand.deadline, deadline) : deadline;
+    }
+  }
+  aDemand.waiting += aItem.waiting;
+  aDemand.inFlight += aItem.inFlight;
+}
+
 void
 PlacementPlanner::collectDemand(Instant aNow)
 {
-  mDemand.clear();
+  mModelDemand.clear();
+  mAdapterDemand.clear();
   std::erase_if(mHosts, [&](const auto& aHost) {
     return aNow - aHost.second.at > mOptions.demandLife;
   });
-  const auto add = [&](const ModelKey& aKey, const DemandItem& aItem, Instant aAt) {
-    auto& demand = mDemand[aKey];
-    if (aItem.waiting > 0) {
-      demand.priority =
-        demand.waiting == 0 ? aItem.priority : std::min(demand.priority, aItem.priority);
-      const Instant in_time = aAt + aItem.inTime;
-      demand.inTimeUntil =
-        demand.inTimeUntil ? std::max(*demand.inTimeUntil, in_time) : in_time;
-      if (aItem.deadline) {
-        const Instant deadline = aAt + *aItem.deadline;
-        demand.deadline =
-          demand.deadline ? std::min(*demand.deadline, deadline) : deadline;
-      }
-    }
-    demand.waiting += aItem.waiting;
-    demand.inFlight += aItem.inFlight;
-  };
   for (const auto& [host, demand] : mHosts) {
     for (const auto& item : demand.items) {
-      add({ item.model.model, "" }, item, demand.at);
+      addDemand(mModelDemand[item.model.model], item, demand.at);
       if (!item.model.adapter.empty()) {
-        add(item.model, item, demand.at);
+        addDemand(mAdapterDemand[item.model], item, demand.at);
       }
     }
   }
 }
 
-PlacementPlanner::Demand
-PlacementPlanner::demandOf(const ModelKey& aKey) const
+const PlacementPlanner::Demand&
+PlacementPlanner::modelDemand(const std::string& aModel) const
+{
+  static const Demand kNone;
+  const auto found = mModelDemand.find(aModel);
+  return found == mModelDemand.end() ? kNone : found->second;
+}
+
+const PlacementPlanner::Demand&
+PlacementPlanner::adapterDemand(const ModelKey& aAdapter) const
 {
-  const auto found = mDemand.find(aKey);
-  return found == mDemand.end() ? Demand{} : found->second;
+  static const Demand kNone;
+  const auto found = mAdapterDemand.find(aAdapter);
+  return found == mAdapterDemand.end() ? kNone : found->second;
 }
 
 void
 PlacementPlanner::countCopies()
 {
-  mReadyCopies.clear();
-  mHeldCopies.clear();
-  mCopied.clear();
-  for (const auto& [id, engine] : mEngines) {
-    if (engine.leaving()) {
-      continue;
-    }
-    for (const auto& model : engine.readyModels()) {
-      ++mReadyCopies[model];
-    }
-    for (const auto& model : engine.heldModels()) {
-      ++mHeldCopies[model];
-      mCopied.insert(model);
-    }
-    mCopied.merge(engine.copies());
+  for (auto& [id, engine] : mEngines) {
+    mCopies.update(engine);
   }
+  mSwapCopies.clear();
+  mStoreSwaps = 0;
   for (const auto& [id, model] : mSwaps) {
     const auto engine = mEngines.find(id);
     if (engine != mEngines.end() && !engine->second.holds(model)) {
-      ++mHeldCopies[model];
+      ++mSwapCopies[model];
+      mStoreSwaps += engine->second.sourceOf(model) == CheckpointSource::Store ? 1 : 0;
     }
   }
 }
 
-std::uint32_t
-PlacementPlanner::readyCopies(const std::string& aModel) const
-{
-  const auto found = mReadyCopies.find(aModel);
-  return found == mReadyCopies.end() ? 0 : found->second;
-}
-
 std::uint32_t
 PlacementPlanner::heldCopies(const std::string& aModel) const
 {
-  const auto found = mHeldCopies.find(aModel);
-  return found == mHeldCopies.end() ? 0 : found->second;
+  const auto swaps = mSwapCopies.find(aModel);
+  return mCopies.heldCount(aModel) + (swaps == mSwapCopies.end() ? 0 : swaps->second);
 }
 
 bool
 PlacementPlanner::copyAnywhere(const std::string& aModel) const
 {
-  return mCopied.contains(aModel);
-}
-
-std::uint32_t
-PlacementPlanner::storeLoads() const
-{
-  std::uint32_t loads = 0;
-  for (const auto& [id, engine] : mEngines) {
-    const auto swap = mSwaps.find(id);
-    const bool planned =
-      swap != mSwaps.end() && engine.sourceOf(swap->second) == CheckpointSource::Store;
-    loads += engine.loadsFromStore() || planned ? 1 : 0;
-  }
-  return loads;
+  return !mCopies.enginesWith(aModel).empty();
 }
 
 bool
@@ -242,9 +230,9 @@
 PlacementPlanner::wantedModels() const
 {
   std::vector<std::string> models;
-  for (const auto& [key, demand] : mDemand) {
-    if (key.adapter.empty() && demand.waiting > 0) {
-      models.push_back(key.model);
+  for (const auto& [model, demand] : mModelDemand) {
+    if (demand.waiting > 0) {
+      models.push_back(model);
     }
   }
   return models;
@@ -258,20 +246,18 @@
     return std::nullopt;
   }
   std::optional<Duration> least;
-  std::uint32_t ahead = 0;
-  for (const auto& [id, engine] : mEngines) {
-    if (engine.ready(aModel)) {
+  for (const auto* engine : mCopies.enginesWith(aModel)) {
+    if (engine->ready(aModel)) {
       return Duration::zero();
     }
-    const auto& pending = engine.pending();
-    if (pending && pending->order.kind == OrderKind::Load) {
+    const auto& pending = engine->pending();
+    if (pending && pending->order.kind == OrderKind::Load &&
+        pending->order.model.model == aModel) {
       const Duration rest = std::max(Duration(100ms), pending->expectedEnd - aNow);
-      if (pending->order.model.model == aModel) {
-        least = least ? std::min(*least, rest) : rest;
-      }
+      least = least ? std::min(*least, rest) : rest;
     }
-    if (!engine.leaving() && engine.hasCopy(aModel)) {
-      const Duration load = engine.loadTime(aModel) + mOptions.runningRequestsTime;
+    if (engine->hasCopy(aModel)) {
+      const Duration load = engine->loadTime(aModel) + mOptions.runningRequestsTime;
       least = least ? std::min(*least, load) : load;
     }
   }
@@ -279,9 +265,9 @@
     return least;
   }
   // Behind the models without any copy for which callers wait.
-  for (const auto& [key, demand] : mDemand) {
-    if (key.adapter.empty() && demand.waiting > 0 && key.model != aModel &&
-        !copyAnywhere(key.model)) {
+  std::uint32_t ahead = 0;
+  for (const auto& [model, demand] : mModelDemand) {
+    if (demand.waiting > 0 && model != aModel && !copyAnywhere(model)) {
       ++ahead;
     }
   }
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -48,6 +48,8 @@
     Duration readPeriod = 500ms;  // while the leader is not heard
     Duration silence = 1500ms;    // after which a leader counts as not heard
     Duration retryPause = 200ms;  // after a call that failed
+    /// Added before a free row is taken, so that hosts that can lead better come first.
+    Duration takeDelay = Duration::zero();
   };
 
   explicit Leadership(Options aOptions)
@@ -98,6 +100,7 @@
 
 private:
   bool ownRow() const { return mRow && !mTerm.empty() && mRow->term == mTerm; }
+  bool mayTake(Instant aNow) const;
 
   Options mOptions;
   std::optional<LeaderRow> mRow;
--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/types/time.h"
+#include "serving/copyindex.h"
 #include "serving/engineledger.h"
 #include "serving/types/placement.h"
 #include "serving/types/servingconfig.h"
@@ -119,13 +120,14 @@
     double cost = 0;
   };
 
-  Demand demandOf(const ModelKey& aKey) const;
+  const Demand& modelDemand(const std::string& aModel) const;
+  const Demand& adapterDemand(const ModelKey& aAdapter) const;
+  static void addDemand(Demand& aDemand, const DemandItem& aItem, Instant aAt);
   void collectDemand(Instant aNow);
   void countCopies();
-  std::uint32_t readyCopies(const std::string& aModel) const;
   std::uint32_t heldCopies(const std::string& aModel) const;
   bool copyAnywhere(const std::string& aModel) const;
-  std::uint32_t storeLoads() const;
+  std::uint32_t storeLoads() const { return mCopies.storeLoads() + mStoreSwaps; }
   bool storeLoadAllowed(Instant aNow);
   std::optional<double> costOfRemoving(const EngineLedger& aEngine,
                                        const std::string& aModel,
@@ -158,13 +160,14 @@
   EngineProfile mProfile;
   std::map<std::string, EngineLedger> mEngines;
   std::map<std::string, HostDemand> mHosts;
-  std::map<ModelKey, Demand> mDemand;
+  std::map<std::string, Demand> mModelDemand; // with that for its adapters
+  std::map<ModelKey, Demand> mAdapterDemand;
   std::map<std::string, Instant> mLastRequest;
   std::map<ModelKey, Instant> mLastAdapterRequest;
-  // Copies at engines that stay, as of the start of the plan and kept up with its orders.
-  std::map<std::string, std::uint32_t> mReadyCopies;
-  std::map<std::string, std::uint32_t> mHeldCopies;
-  std::set<std::string> mCopied; // models with a checkpoint copy at any engine
+  CopyIndex mCopies; // as of the start of the plan, and kept up with its orders
+  std::map<std::string, std::uint32_t> mSwapCopies; // places being made, by model
+  std::uint32_t mStoreSwaps = 0; // of these, places for a load from the weight store
+  double mSmallestModelMb = 0;
   Instant mNextStoreCopy{};
   std::map<std::string, std::string> mSwaps; // engine to the model that gets the place
   std::deque<Instant> mStoreLoadStarts;
--- a/src/serving/tests/engineworld.cpp
+++ b/src/serving/tests/engineworld.cpp
@@ -217,6 +217,10 @@
     planner->orderDone(aOrder.upstream, OrderOutcome::Unknown, now);
     return;
   }
+  if (engine.unreachable) {
+    planner->orderDone(aOrder.upstream, OrderOutcome::Conflict, now);
+    return;
+  }
   const auto outcome = apply(engine, aOrder);
   conflicts += outcome == OrderOutcome::Conflict ? 1 : 0;
   planner->orderDone(
@@ -252,7 +256,11 @@
     deliver(order);
   }
   for (const auto& id : planner->reportsWanted(now)) {
-    planner->reportRead(id, reportOf(engines.at(id)), now, now);
+    if (engines.at(id).unreachable) {
+      planner->reportFailed(id, now);
+    } else {
+      planner->reportRead(id, reportOf(engines.at(id)), now, now);
+    }
   }
 }
 
--- a/src/serving/tests/engineworld.h
+++ b/src/serving/tests/engineworld.h
@@ -26,6 +26,7 @@
     Duration unloadTime = 40ms; // longer while requests run
     bool losesAnswers = false;
     bool lateOrders = false;
+    bool unreachable = false; // orders and requests for reports cannot be sent
   };
 
   EngineWorld();
--- a/src/serving/tests/leadershiptest.cpp
+++ b/src/serving/tests/leadershiptest.cpp
@@ -112,6 +112,52 @@
   CHECK_TRUE(b.fencing() > a.fencing());
 }
 
+// Guards against a host behind a narrow link that leads many others although wider ones
+// are there.
+TEST(Leadership, HostsWithAndWithoutDelay_FreeRowGoesToTheOneWithout)
+{
+  auto narrow_options = optionsOf("narrow");
+  narrow_options.takeDelay = 1s;
+  Leadership narrow(narrow_options);
+  Leadership wide(optionsOf("wide"));
+  settle(narrow, "tn");
+  now += 400ms;
+  settle(narrow, "tn");
+  settle(wide, "tw");
+  settle(narrow, "tn");
+  CHECK_FALSE(narrow.leads(now));
+  CHECK_TRUE(wide.leads(now));
+}
+
+// As above, after a leader has gone: the delay counts from the end of its lease.
+TEST(Leadership, HolderDies_HostWithDelayComesLater)
+{
+  auto narrow_options = optionsOf("narrow");
+  narrow_options.takeDelay = 1s;
+  Leadership holder(optionsOf("holder"));
+  Leadership narrow(narrow_options);
+  Leadership wide(optionsOf("wide"));
+  settle(holder, "th");
+  settle(narrow, "tn");
+  settle(wide, "tw");
+  while (!wide.leads(now) && !narrow.leads(now)) {
+    settle(narrow, "tn");
+    settle(wide, "tw");
+    now += 50ms;
+  }
+  CHECK_TRUE(wide.leads(now));
+}
+
+TEST(Leadership, OnlyHostHasDelay_LeadsAfterIt)
+{
+  auto narrow_options = optionsOf("narrow");
+  narrow_options.takeDelay = 1s;
+  Leadership narrow(narrow_options);
+  const auto time = untilItLeads(narrow, "tn");
+  CHECK_TRUE(time >= 1s);
+  CHECK_TRUE(time <= 1200ms);
+}
+
 // Guards against a paused holder that wakes up and goes on ordering.
 TEST(Leadership, HolderIsSuspended_LeaseIsOverWhenItWakes)
 {
--- a/src/serving/tests/placementplannertest.cpp
+++ b/src/serving/tests/placementplannertest.cpp
@@ -158,6 +158,25 @@
   }
 }
 
+// Guards against an order of unknown outcome that is repeated without a pause while its
+// engine cannot be reached: a leader sent some hundred a second and wrote 6,000 log
+// lines.
+TEST(PlacementPlanner, RepeatedOrderCannotBeSent_PausesBetweenRepeats)
+{
+  auto& engine = world.addEngine("u1", { "a", "b", "c" });
+  engine.onDisk.insert("d");
+  world.run(2s);
+  engine.lateOrders = true;
+  world.setDemand("h", { EngineWorld::waiting("d") });
+  world.run(100ms);
+  engine.lateOrders = false;
+  engine.unreachable = true;
+  const int before = world.ordersSent;
+  world.run(6s);
+  CHECK_TRUE(world.ordersSent - before >= 1);
+  CHECK_TRUE(world.ordersSent - before <= 10); // one in 600 ms
+}
+
 // Guards against a new leader that takes the room of a load its predecessor ordered for
 // free; the engine crashed when both were loaded.
 TEST(PlacementPlanner, PredecessorsLoadInProgress_ItsRoomCounts)
