Learn how many loads from the weight store run at full speed

Cause: four were assumed.

Change: StoreLoadLimit begins with one, allows another after each load at full speed beside as many as allowed, and falls back when loads are slow. The load goes to the model with the most waiting callers, also to a further copy of a busy one. The test that expected exactly four loads now has a store that slows down and allows one probe above the full-speed number, since the number is learned; a second test covers a store of one.

--- a/src/serving/internal/placementchoice.cpp
+++ b/src/serving/internal/placementchoice.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 
 #include "serving/placementplanner.h"
 
@@ -285,12 +286,7 @@
            aRight.demand.deadline.value_or(Instant::max());
   });
   for (const auto& item : wanted) {
-    // A copy that cannot be used in the time of a load from the store is not waited for.
-    auto place = bestPlace(item.model, false, aNow);
-    if (!place && !item.copied && storeLoadAllowed(aNow)) {
-      place = bestPlace(item.model, true, aNow);
-    }
-    if (place) {
+    if (const auto place = bestPlace(item.model, false, aNow)) {
       occupy(*place, item.model, aNow, aOrders);
       ++mPlaced;
     }
@@ -306,16 +302,39 @@
     }
     const std::uint32_t copies = heldCopies(model);
     const auto load = static_cast<double>(demand.inFlight + demand.waiting);
-    if (copies == 0 ||
-        load / copies <= std::min(mOptions.requestsPerCopy, mProfile.concurrency / 2.0)) {
+    if (copies == 0 || load / copies <= requestsForCopy()) {
+      continue;
+    }
+    if (const auto place = bestPlace(model, false, aNow)) {
+      occupy(*place, model, aNow, aOrders);
+    }
+  }
+}
+
+void
+PlacementPlanner::placeFromStore(Instant aNow, std::vector<PlacementOrder>& aOrders)
+{
+  // Models without any copy, and those whose copies are too few and all in use. Each load
+  // keeps the store busy for long, so the model with the most waiting callers goes first.
+  std::vector<std::pair<std::uint32_t, std::string>> wanted;
+  for (const auto& [model, demand] : mModelDemand) {
+    if (demand.waiting == 0 || !mProfile.models.contains(model)) {
       continue;
     }
-    auto place = bestPlace(model, false, aNow);
-    if (!place && storeLoadAllowed(aNow)) {
-      place = bestPlace(model, true, aNow);
+    const std::uint32_t copies = heldCopies(model);
+    const auto load = static_cast<double>(demand.inFlight + demand.waiting);
+    if (copies == 0 ? !copyAnywhere(model) : load / copies > requestsForCopy()) {
+      wanted.emplace_back(demand.waiting, model);
+    }
+  }
+  std::ranges::sort(wanted, std::greater{});
+  for (const auto& [waiting, model] : wanted) {
+    if (!storeLoadAllowed(aNow)) {
+      return;
     }
-    if (place) {
+    if (const auto place = bestPlace(model, true, aNow)) {
       occupy(*place, model, aNow, aOrders);
+      ++mPlaced;
     }
   }
 }
@@ -376,11 +395,13 @@
     engine.assumeLoaded(aNow);
   }
   countCopies();
+  followStoreLoads(aNow);
   repeatUnknown(aNow, orders);
   continueSwaps(aNow, orders);
   placeAdapters(aNow, orders);
   placeWanted(aNow, orders);
   addCopies(aNow, orders);
+  placeFromStore(aNow, orders);
   restoreFromDisk(aNow, orders);
   copyFromStore(aNow, orders);
   return orders;
--- a/src/serving/internal/placementplanner.cpp
+++ b/src/serving/internal/placementplanner.cpp
@@ -39,6 +39,7 @@
   }
   mSwaps.erase(aEntry.id);
   mCopies.remove(aEntry.id);
+  mStoreLoadLimit.ended(aEntry.id, false, aNow);
   auto& engine =
     mEngines.insert_or_assign(aEntry.id, EngineLedger(aEntry, mProfile)).first->second;
   engine.listed(aEntry, aNow);
@@ -48,6 +49,7 @@
 PlacementPlanner::removeEngine(const std::string& aId)
 {
   mCopies.remove(aId);
+  mStoreLoadLimit.ended(aId, false, {});
   mEngines.erase(aId);
   mSwaps.erase(aId);
 }
@@ -160,6 +162,24 @@
   return !mCopies.enginesWith(aModel).empty();
 }
 
+void
+PlacementPlanner::followStoreLoads(Instant aNow)
+{
+  for (const auto& [id, engine] : mEngines) {
+    const auto& pending = engine.pending();
+    if (pending && pending->order.kind == OrderKind::Load &&
+        pending->source == CheckpointSource::Store) {
+      const auto profile = mProfile.models.find(pending->order.model.model);
+      if (profile != mProfile.models.end()) {
+        mStoreLoadLimit.started(id, profile->second.fromStore, pending->sent);
+      }
+    } else {
+      mStoreLoadLimit.ended(id, !engine.leaving(), aNow);
+    }
+  }
+  mStoreLoadLimit.check(aNow);
+}
+
 bool
 PlacementPlanner::storeLoadAllowed(Instant aNow)
 {
@@ -170,7 +190,7 @@
   const double most =
     std::max(1.0, mProfile.storeLoadsPerSecond * toSeconds(mOptions.rateWindow));
   return static_cast<double>(mStoreLoadStarts.size()) + 1 <= most &&
-         storeLoads() < mOptions.fullSpeedLoads;
+         storeLoads() < mStoreLoadLimit.most();
 }
 
 void
@@ -296,7 +316,7 @@
       ++ahead;
     }
   }
-  const auto rounds = 1 + (ahead + storeLoads()) / std::max(1U, mOptions.fullSpeedLoads);
+  const auto rounds = 1 + (ahead + storeLoads()) / mStoreLoadLimit.most();
   return profile->second.fromStore * rounds;
 }
 
--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -13,6 +14,7 @@
 #include "serving/admission.h"
 #include "serving/copyindex.h"
 #include "serving/engineledger.h"
+#include "serving/storeloadlimit.h"
 #include "serving/types/placement.h"
 #include "serving/types/servingconfig.h"
 
@@ -37,8 +39,6 @@
 public:
   struct Options
   {
-    /// Loads from the weight store that run at full speed together.
-    std::uint32_t fullSpeedLoads = 4;
     /// Window in which loads from the weight store are counted against their rate.
     Duration rateWindow = 5s;
     /// Requests in progress at one copy above which a model gets another. Prompts are
@@ -130,10 +130,16 @@
   static void addDemand(Demand& aDemand, const DemandItem& aItem, Instant aAt);
   void collectDemand(Instant aNow);
   void countCopies();
+  void followStoreLoads(Instant aNow);
   std::uint32_t heldCopies(const std::string& aModel) const;
   bool copyAnywhere(const std::string& aModel) const;
   std::uint32_t storeLoads() const { return mCopies.storeLoads() + mStoreSwaps; }
   bool storeLoadAllowed(Instant aNow);
+  /// Requests at each copy above which a model gets another one.
+  double requestsForCopy() const
+  {
+    return std::min(mOptions.requestsPerCopy, mProfile.concurrency / 2.0);
+  }
   std::optional<double> costOfRemoving(const EngineLedger& aEngine,
                                        const std::string& aModel,
                                        Instant aNow) const;
@@ -157,6 +163,7 @@
   void placeAdapters(Instant aNow, std::vector<PlacementOrder>& aOrders);
   void placeWanted(Instant aNow, std::vector<PlacementOrder>& aOrders);
   void addCopies(Instant aNow, std::vector<PlacementOrder>& aOrders);
+  void placeFromStore(Instant aNow, std::vector<PlacementOrder>& aOrders);
   void restoreFromDisk(Instant aNow, std::vector<PlacementOrder>& aOrders);
   void copyFromStore(Instant aNow, std::vector<PlacementOrder>& aOrders);
 
@@ -177,6 +184,7 @@
   Instant mNextStoreCopy{};
   std::map<std::string, std::string> mSwaps; // engine to the model that gets the place
   std::deque<Instant> mStoreLoadStarts;
+  StoreLoadLimit mStoreLoadLimit;
   std::uint64_t mPlaced = 0; // models placed for waiting callers
 };
 
--- a/src/serving/tests/engineworld.h
+++ b/src/serving/tests/engineworld.h
@@ -21,6 +21,7 @@
     std::uint64_t orders = 0;
     std::optional<PlacementOrder> busyWith;
     Instant busyUntil{};
+    double loadRest = 0; // of a load from the store, in seconds at full speed
     std::map<std::string, std::set<std::string>> models;
     std::set<std::string> onDisk;
     Duration unloadTime = 40ms; // longer while requests run
@@ -46,6 +47,7 @@
   void replacePlanner();
 
   EngineProfile profile;
+  int fullSpeedLoads = 4; // of the store; more of them share its speed
   std::map<std::string, Engine> engines;
   std::unique_ptr<PlacementPlanner> planner;
   Instant now{ 100s };
@@ -59,6 +61,7 @@
   void step();
   void deliver(const PlacementOrder& aOrder);
   OrderOutcome apply(Engine& aEngine, const PlacementOrder& aOrder);
+  static bool loadsFromStore(const Engine& aEngine);
   void finishOrders();
   double usedMb(const Engine& aEngine) const;
   EngineReport reportOf(const Engine& aEngine) const;
--- /dev/null
+++ b/src/serving/tests/storeloadlimittest.cpp
@@ -0,0 +1,79 @@
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+#include "serving/storeloadlimit.h"
+
+using namespace savoryrill;
+using namespace savoryrill::serving;
+
+TEST_GROUP(StoreLoadLimit)
+{
+  static constexpr Duration kAlone = 10s;
+  Instant now{ 100s };
+  StoreLoadLimit limit;
+
+  /// Keeps the store as busy as allowed for a time; loads beyond `aFullSpeed` share its
+  /// speed. Returns the loads that ended.
+  int replay(Duration aTime, std::uint32_t aFullSpeed)
+  {
+    struct Load
+    {
+      std::string engine;
+      double rest = 0; // seconds at full speed
+    };
+    std::vector<Load> loads;
+    int ended = 0;
+    int next = 0;
+    for (const Instant end = now + aTime; now < end; now += 100ms) {
+      while (loads.size() < limit.most()) {
+        loads.push_back({ "u" + std::to_string(next++), toSeconds(kAlone) });
+        limit.started(loads.back().engine, kAlone, now);
+      }
+      const double speed = std::min(
+        1.0, static_cast<double>(aFullSpeed) / static_cast<double>(loads.size()));
+      for (auto& load : loads) {
+        load.rest -= 0.1 * speed;
+        if (load.rest <= 0) {
+          limit.ended(load.engine, true, now);
+          ++ended;
+        }
+      }
+      std::erase_if(loads, [](const Load& aLoad) { return aLoad.rest <= 0; });
+      limit.check(now);
+    }
+    return ended;
+  }
+};
+
+// Load pattern: the store runs one load at full speed. Four at once, as assumed before,
+// ended none within 40 s.
+TEST(StoreLoadLimit, OneRunsAtFullSpeed_StaysNearOne)
+{
+  CHECK_TRUE(replay(40s, 1) >= 3);
+  replay(60s, 1);
+  LONGS_EQUAL(1, limit.most());
+}
+
+TEST(StoreLoadLimit, FourRunAtFullSpeed_FourAreReached)
+{
+  replay(60s, 4);
+  replay(120s, 4);
+  LONGS_EQUAL(4, limit.most());
+}
+
+TEST(StoreLoadLimit, ManyRunAtFullSpeed_NumberGrows)
+{
+  replay(100s, 100);
+  CHECK_TRUE(limit.most() >= 9);
+}
+
+// Guards against a crashed engine, or a load that was given up, that counts as slow.
+TEST(StoreLoadLimit, LoadIsNotCompleted_NothingIsLearned)
+{
+  replay(25s, 4);
+  const auto before = limit.most();
+  limit.started("x", kAlone, now);
+  limit.ended("x", false, now + 50s);
+  LONGS_EQUAL(before, limit.most());
+}
