Read the list of upstreams as often as their notice to leave asks for

The list was read every 1.2 s everywhere, also where upstreams that leave serve for 3 s.

Ruled out: a longer wait in the read of the configuration, since a silent connection would hide a change for longer than its bound of 2 s.

Change: setting leave_notice_ms; the list is read every 0.6 of it, which is the former 1.2 s at 2 s.

--- a/src/config/gatewaysettings.h
+++ b/src/config/gatewaysettings.h
@@ -25,6 +25,7 @@
   Severity logLevel = Severity::Info;
   std::uint32_t logBytesPerSecond = 64 * 1024; // lines above it are dropped and counted
   Duration drainLimit = 8s;    // between SIGTERM and the end of the process
+  Duration leaveNotice = 2s;   // for which an upstream that leaves goes on serving
   Duration orderTurnTime = 3s; // between orders of two hosts to one engine
   double retryShare = 0.2;     // repeated sends for each request of an upstream group
   double retryReserve = 50;    // and this many more in a while, of all hosts together
--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr IntegerRange kTimeMs{ 0, 3'600'000 };
+// Below the least value the list would be read more than 16 times a second.
+constexpr IntegerRange kNoticeMs{ 100, 3'600'000 };
 constexpr IntegerRange kConnections{ 1, 1'000'000 };
 constexpr IntegerRange kLogRate{ 1024, 100'000'000 };
 constexpr Range<double> kShare{ 0.0, 10.0 };
@@ -42,6 +44,7 @@
     mRoot.enumeration("log_level", mSettings.logLevel);
     mRoot.integer("log_bytes_per_second", mSettings.logBytesPerSecond, kLogRate);
     mRoot.milliseconds("drain_limit_ms", mSettings.drainLimit, kTimeMs);
+    mRoot.milliseconds("leave_notice_ms", mSettings.leaveNotice, kNoticeMs);
     mRoot.milliseconds("order_turn_ms", mSettings.orderTurnTime, kTimeMs);
     mRoot.real("retry_share", mSettings.retryShare, kShare);
     mRoot.real("retry_reserve", mSettings.retryReserve, kReserve);
--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -54,13 +54,15 @@
   CHECK_TRUE(config::hasErrors(config::checkGatewaySettings("s", text).findings));
 }
 
-TEST(GatewaySettings, LinkBandwidth_ReadOrReported)
+TEST(GatewaySettings, LinkBandwidthAndLeaveNotice_ReadOrReported)
 {
   auto text = whole;
   const std::string key = R"("link_mbps": )";
   text.insert(text.find('{') + 1, key + "10,");
   DOUBLES_EQUAL(10, config::checkGatewaySettings("s", text).settings.linkMbps, 0.01);
   DOUBLES_EQUAL(0, config::checkGatewaySettings("s", whole).settings.linkMbps, 0.01);
+  text.insert(text.find('{') + 1, "\"leave_notice_ms\": 3000,");
+  CHECK_TRUE(config::checkGatewaySettings("s", text).settings.leaveNotice == 3s);
   text.replace(text.find(key) + key.size(), 2, "-1");
   CHECK_TRUE(mentions(config::checkGatewaySettings("s", text), "link_mbps"));
 }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -19,8 +19,9 @@
 // connection that has gone silent a change is seen this much later.
 constexpr Duration kConfigWait = 2500ms;
 constexpr Duration kConfigPause = 50ms;
-// An upstream that leaves gets no new requests after this time and one read.
-constexpr Duration kUpstreamsPause = 1200ms;
+// The list is read once in this part of the time that leaving upstreams still serve: the
+// rest is for the read itself and a failed one before it. More reads cost more calls.
+constexpr double kUpstreamsPauseShare = 0.6;
 // A balancer notices a changed readiness within this time and sends no new callers.
 constexpr Duration kBalancerTime = 2500ms;
 // Left for the last responses before the drain limit.
@@ -174,7 +175,8 @@
                                     TableFollower::Handlers{ config_read, config_read });
   TableFollower::Options upstreams;
   upstreams.table = mDependencies.records.upstreamTable();
-  upstreams.pause = kUpstreamsPause;
+  upstreams.pause =
+    std::chrono::duration_cast<Duration>(mSettings.leaveNotice * kUpstreamsPauseShare);
   mUpstreamFollower = std::make_unique<TableFollower>(
     mDependencies.loop,
     mDependencies.store,
