--- a/src/cli/internal/commandline.cpp
+++ b/src/cli/internal/commandline.cpp
@@ -246,11 +246,23 @@
   addOperators(parser, command.operators);
   addIdentifier(parser, "request", "ID", "Request, by its X-Request-Id", command.request);
   parser.text("model", "NAME", "Model, by deployment or full name", command.model);
+  parser.value("log",
+               "FILE",
+               "Read events from a log of any processes, - for standard input, instead "
+               "of asking processes; repeatable",
+               [&](const std::string& aFile) -> std::string {
+                 command.logs.push_back(aFile);
+                 return "";
+               });
   addJson(parser, command.json);
   if (auto result = parsed(parser, aWords)) {
     return *result;
   }
-  if (const auto missing = missingOperators(command.operators); !missing.empty()) {
+  if (!command.logs.empty() && !command.operators.addresses.empty()) {
+    return usage("explain: needs either --log or --operator");
+  }
+  const auto missing = missingOperators(command.operators);
+  if (command.logs.empty() && !missing.empty()) {
     return usage("explain: " + missing);
   }
   if (command.request.empty() == command.model.empty()) {
--- a/src/cli/internal/explaincommand.cpp
+++ b/src/cli/internal/explaincommand.cpp
@@ -1,7 +1,10 @@
+#include <algorithm>
+#include <iterator>
 #include <set>
 
 #include "base/jsontext.h"
 #include "cli/internal/explanation.h"
+#include "cli/internal/logevents.h"
 #include "cli/internal/operatorclient.h"
 #include "cli/internal/runcommands.h"
 
@@ -85,11 +88,41 @@
   aOut << toCompactJson(result) << "\n";
 }
 
+ExitCode
+explainLogs(const ExplainCommand& aCommand, const Environment& aEnvironment)
+{
+  auto logs = readLogs(aCommand.logs);
+  if (!logs) {
+    aEnvironment.err << logs.error().message << "\n";
+    return ExitCode::Usage;
+  }
+  if (logs.value().unreadableLines > 0) {
+    aEnvironment.err << logs.value().unreadableLines << " lines are no events\n";
+  }
+  auto& all = logs.value().events;
+  std::vector<Json::Value> events;
+  std::string conclusion;
+  if (aCommand.request.empty()) {
+    std::ranges::copy_if(all, std::back_inserter(events), [&](const Json::Value& aEvent) {
+      return concernsModel(aEvent, aCommand.model);
+    });
+    conclusion = concludeModel(events, aCommand.model);
+  } else {
+    events = eventsAround(all, aCommand.request);
+    conclusion = concludeRequest(events, aCommand.request);
+  }
+  printExplanation(aCommand, events, conclusion, aEnvironment.out);
+  return events.empty() ? ExitCode::Negative : ExitCode::Success;
+}
+
 } // namespace
 
 ExitCode
 runExplain(const ExplainCommand& aCommand, const Environment& aEnvironment)
 {
+  if (!aCommand.logs.empty()) {
+    return explainLogs(aCommand, aEnvironment);
+  }
   const auto client = OperatorClient::create(aEnvironment, aCommand.operators);
   if (!client) {
     aEnvironment.err << client.error().message << "\n";
--- a/src/cli/internal/explanation.cpp
+++ b/src/cli/internal/explanation.cpp
@@ -72,7 +72,7 @@
 bool
 isAnswer(const std::string& aName)
 {
-  return aName.starts_with("request-") &&
+  return (aName.starts_with("request-") || aName.starts_with("call-")) &&
          (aName.ends_with("answered") || aName.ends_with("finished"));
 }
 
@@ -89,9 +89,9 @@
     } else if (isAnswer(name)) {
       story.answer = &event;
       ++story.answers;
-    } else if (name == "request-abandoned") {
+    } else if (name == "request-abandoned" || name == "call-cut" || name == "call-left") {
       story.abandoned = &event;
-    } else if (name.find("waiting") != std::string::npos) {
+    } else if (name.find("waiting") != std::string::npos || name == "call-waits") {
       story.wait = &event;
     } else if (name == "load-failed" || name == "order-refused") {
       story.failedLoad = &event;
@@ -194,6 +194,18 @@
   return "; the load of " + place + " failed: " + reasonOf(aEvent);
 }
 
+/// Gateways record the expected time in place of a reason, -1 if the leader told none.
+std::string
+waitReason(const Json::Value& aWait)
+{
+  const auto ready_in = textOf(aWait, "ready_in_ms");
+  if (ready_in.empty()) {
+    return reasonOf(aWait);
+  }
+  return ready_in.starts_with("-") ? "nothing was known of a load of its model"
+                                   : "its model was expected in " + ready_in + " ms";
+}
+
 /// Why the request was cold, as far as recorded.
 std::string
 coldSentence(const Story& aStory, const std::vector<Json::Value>& aEvents)
@@ -202,7 +214,7 @@
     return "";
   }
   const auto* load = tellingLoad(aEvents, aStory.upstream);
-  return " after waiting: " + reasonOf(*aStory.wait) +
+  return " after waiting: " + waitReason(*aStory.wait) +
          (load == nullptr ? "" : loadSentence(*load));
 }
 
@@ -254,8 +266,9 @@
   for (const auto* key : { "model", "loadable", "deployment" }) {
     const std::string value = textOf(aEvent, key);
     const bool same_start = !value.empty() && value.starts_with(aName);
+    // A version or an adapter may follow.
     if (same_start && (value.size() == aName.size() || value[aName.size()] == '@' ||
-                       value[aName.size()] == '+')) {
+                       value[aName.size()] == '+' || value[aName.size()] == '/')) {
       return true;
     }
   }
@@ -279,7 +292,9 @@
     return subject + refusalSentence(*story.refusal) + coldSentence(story, aEvents);
   }
   if (story.abandoned != nullptr) {
-    return subject + "was given up: " + reasonOf(*story.abandoned) +
+    const bool left = textOf(*story.abandoned, "name") == "call-left";
+    return subject +
+           "was given up: " + (left ? "its caller left" : reasonOf(*story.abandoned)) +
            coldSentence(story, aEvents);
   }
   const auto& last = aEvents.back();
--- a/src/cli/types/commands.h
+++ b/src/cli/types/commands.h
@@ -54,6 +54,7 @@
 struct ExplainCommand
 {
   OperatorTargets operators;
+  std::vector<std::string> logs; // read in place of asking processes; "-": standard input
   std::string request;
   std::string model;
   bool json = false;
