Load a model without any copy in place of another's second copy

Second copies of models in use were never removed.

Ruled out: the leader (host-1 led and ordered throughout), the store, the engines (all had the model on disk, none refused an order).

Change: callers of a model without any copy go before a second copy, at a cost above that of all idle models.

--- a/src/serving/internal/placementchoice.cpp
+++ b/src/serving/internal/placementchoice.cpp
@@ -12,6 +12,9 @@
 // Cost, as a time, of removing the only ready copy of a model; above that of a surplus
 // copy, so that surplus copies go first.
 constexpr double kLastCopyCost = 1.0;
+// Cost of the second copy of a model in use, for a model that waits without any copy;
+// above that of all idle models.
+constexpr double kSecondCopyCost = 3.0;
 // Cost of a surplus copy for each request in progress that the other copies take over.
 constexpr double kSurplusRequestCost = 0.02;
 // Pause between two copies for later, whose choice looks at all engines.
@@ -27,6 +30,7 @@
 std::optional<double>
 PlacementPlanner::costOfRemoving(const EngineLedger& aEngine,
                                  const std::string& aModel,
+                                 bool aForFirstCopy,
                                  Instant aNow) const
 {
   const auto& demand = modelDemand(aModel);
@@ -46,7 +50,8 @@
       1.0 - std::min(1.0, toSeconds(idle) / toSeconds(mOptions.idleAfter));
     return kLastCopyCost + kRecentCost * share;
   }
-  if (recent && copies <= mOptions.copiesOfBusy) {
+  const bool spare = recent && copies <= mOptions.copiesOfBusy;
+  if (spare && !aForFirstCopy) {
     return std::nullopt;
   }
   const double load_after = static_cast<double>(demand.inFlight + demand.waiting) /
@@ -54,7 +59,8 @@
   if (load_after > std::min(mOptions.requestsWithoutCopy, mProfile.concurrency / 3.0)) {
     return std::nullopt;
   }
-  return kSurplusRequestCost * static_cast<double>(demand.inFlight);
+  return (spare ? kSecondCopyCost : 0.0) +
+         kSurplusRequestCost * static_cast<double>(demand.inFlight);
 }
 
 std::optional<PlacementPlanner::Place>
@@ -72,8 +78,9 @@
     return place;
   }
   std::optional<double> least;
+  const bool first_copy = heldCopies(aModel) == 0 && modelDemand(aModel).waiting > 0;
   for (const auto& model : aEngine.readyModels()) {
-    const auto cost = costOfRemoving(aEngine, model, aNow);
+    const auto cost = costOfRemoving(aEngine, model, first_copy, aNow);
     if (cost && (!least || *cost < *least)) {
       least = cost;
       place.victim = model;
--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -51,7 +51,8 @@
     Duration leastStay = 1500ms;
     /// Time without requests after which a model counts as idle.
     Duration idleAfter = 10s;
-    /// Copies kept of a model with recent requests, so that one engine may fail.
+    /// Copies kept of a model with recent requests, so that one engine may fail. Callers
+    /// of a model without any copy go before the second one.
     std::uint32_t copiesOfBusy = 2;
     /// Added to the time of a load whose place is still used by running requests.
     Duration runningRequestsTime = 1500ms;
@@ -142,6 +143,7 @@
   }
   std::optional<double> costOfRemoving(const EngineLedger& aEngine,
                                        const std::string& aModel,
+                                       bool aForFirstCopy,
                                        Instant aNow) const;
   std::optional<Place> placeAt(EngineLedger& aEngine,
                                const std::string& aModel,
--- a/src/serving/tests/placementplannertest.cpp
+++ b/src/serving/tests/placementplannertest.cpp
@@ -70,6 +70,31 @@
   }
 }
 
+// Load pattern: all models are in use, some with a second copy, and callers wait for one
+// that has none. Guards against a model that is not loaded while others have spare copies
+// (seed 1002 of the soak: its callers were refused for 16 s).
+TEST(PlacementPlanner, AllModelsInUse_SecondCopyGoesForAModelWithoutAny)
+{
+  for (const char* id : { "u1", "u2" }) {
+    world.addEngine(id, { "a", "b" }).onDisk = { "a", "b", "c", "d", "e" };
+  }
+  world.engines["u1"].models["c"];
+  world.engines["u2"].models["d"];
+  std::vector<DemandItem> items;
+  for (const char* name : { "a", "b", "c", "d" }) {
+    items.push_back(EngineWorld::inFlight(name, 2));
+  }
+  world.setDemand("h", items);
+  world.run(3s);
+  items.push_back(EngineWorld::waiting("e"));
+  world.setDemand("h", items);
+  CHECK_TRUE(world.timeUntilHeld("e", 5s).has_value());
+  for (const char* name : { "a", "b", "c", "d" }) {
+    CHECK_TRUE(world.copiesOf(name) >= 1);
+  }
+  LONGS_EQUAL(3, world.copiesOf("a") + world.copiesOf("b"));
+}
+
 // Load pattern: a busy model's requests outgrow its copies.
 TEST(PlacementPlanner, RequestsOutgrowCopies_CopiesAreAddedFromDisk)
 {
