--- a/src/cli/internal/explanation.cpp
+++ b/src/cli/internal/explanation.cpp
@@ -8,7 +8,7 @@
 #include <ctime>
 #include <tuple>
 
-#include "base/jsontext.h"
+#include "cli/internal/eventfields.h"
 #include "cli/internal/texttable.h"
 
 namespace savoryrill::cli {
@@ -22,19 +22,6 @@
                                                         "event",
                                                         "name" };
 
-std::string
-textOf(const Json::Value& aEvent, std::string_view aKey)
-{
-  return stringMember(aEvent, aKey).value_or("");
-}
-
-std::int64_t
-numberOf(const Json::Value& aEvent, std::string_view aKey)
-{
-  const Json::Value& value = memberOf(aEvent, aKey);
-  return value.isInt64() ? value.asInt64() : 0;
-}
-
 /// True for orders of loads and unloads, and what became of them.
 bool
 isLoadEvent(const Json::Value& aEvent)
--- a/src/cli/internal/logevents.cpp
+++ b/src/cli/internal/logevents.cpp
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "base/jsontext.h"
+#include "cli/internal/eventfields.h"
 
 namespace savoryrill::cli {
 
@@ -21,19 +22,6 @@
   "drain-started",   "leader-changed",  "settings-reloaded"
 };
 
-std::string
-fieldOf(const Json::Value& aEvent, std::string_view aKey)
-{
-  return stringMember(aEvent, aKey).value_or("");
-}
-
-std::int64_t
-timeOf(const Json::Value& aEvent)
-{
-  const auto& time = memberOf(aEvent, "time_ms");
-  return time.isInt64() ? time.asInt64() : 0;
-}
-
 std::uint64_t
 sequenceOf(const Json::Value& aEvent)
 {
@@ -65,8 +53,8 @@
 {
   std::map<std::string, std::vector<std::vector<Json::Value>>> starts;
   for (auto& event : aEvents) {
-    auto& runs = starts[fieldOf(event, "process")];
-    if (runs.empty() || fieldOf(event, "name") == "process-started") {
+    auto& runs = starts[textOf(event, "process")];
+    if (runs.empty() || textOf(event, "name") == "process-started") {
       runs.emplace_back();
     }
     runs.back().push_back(std::move(event));
@@ -87,8 +75,9 @@
   auto queues = byProcess(std::move(aEvents));
   std::vector<Json::Value> result;
   while (!queues.empty()) {
-    const auto first = std::ranges::min_element(
-      queues, {}, [](const auto& aQueue) { return timeOf(aQueue.second.front()); });
+    const auto first = std::ranges::min_element(queues, {}, [](const auto& aQueue) {
+      return numberOf(aQueue.second.front(), "time_ms");
+    });
     result.push_back(std::move(first->second.front()));
     first->second.pop_front();
     if (first->second.empty()) {
@@ -107,7 +96,7 @@
 bool
 isOf(const Json::Value& aEvent, const std::string& aRequest)
 {
-  return fieldOf(aEvent, "call") == aRequest || fieldOf(aEvent, "request") == aRequest;
+  return textOf(aEvent, "call") == aRequest || textOf(aEvent, "request") == aRequest;
 }
 
 } // namespace
@@ -146,21 +135,21 @@
     }
     first = std::min(first, at);
     last = at;
-    models.insert(withoutAdapter(fieldOf(event, "model")));
-    upstreams.insert(fieldOf(event, "upstream"));
-    hosts.insert(fieldOf(event, "process"));
+    models.insert(withoutAdapter(textOf(event, "model")));
+    upstreams.insert(textOf(event, "upstream"));
+    hosts.insert(textOf(event, "process"));
   }
   models.erase("");
   upstreams.erase("");
   std::vector<Json::Value> result;
   for (std::size_t at = first; at <= last && at < aEvents.size(); ++at) {
     const auto& event = aEvents[at];
-    const auto name = fieldOf(event, "name");
+    const auto name = textOf(event, "name");
     const bool order = name.starts_with("order-") &&
-                       models.contains(withoutAdapter(fieldOf(event, "model")));
+                       models.contains(withoutAdapter(textOf(event, "model")));
     const bool listed =
-      name == "upstream-listed" && upstreams.contains(fieldOf(event, "upstream"));
-    const bool host = hosts.contains(fieldOf(event, "process")) &&
+      name == "upstream-listed" && upstreams.contains(textOf(event, "upstream"));
+    const bool host = hosts.contains(textOf(event, "process")) &&
                       std::ranges::find(kHostEvents, name) != kHostEvents.end();
     if (isOf(event, aRequest) || order || listed || host) {
       result.push_back(event);
--- a/src/gateway/internal/upstreamboard.cpp
+++ b/src/gateway/internal/upstreamboard.cpp
@@ -26,6 +26,16 @@
 // where it can still go to another upstream.
 constexpr std::uint32_t kMostBatches = 1;
 
+std::map<std::string, Instant>
+instantsOf(const std::map<std::string, Duration>& aTimes, Instant aNow)
+{
+  std::map<std::string, Instant> instants;
+  for (const auto& [name, time] : aTimes) {
+    instants[name] = aNow + time;
+  }
+  return instants;
+}
+
 } // namespace
 
 UpstreamBoard::UpstreamBoard(std::string aDataCentre, std::uint64_t aSeed)
@@ -49,19 +59,13 @@
 void
 UpstreamBoard::setWaits(const std::map<std::string, Duration>& aWaits, Instant aNow)
 {
-  mReadyAt.clear();
-  for (const auto& [model, wait] : aWaits) {
-    mReadyAt[model] = aNow + wait;
-  }
+  mReadyAt = instantsOf(aWaits, aNow);
 }
 
 void
 UpstreamBoard::setQueues(const std::map<std::string, Duration>& aQueues, Instant aNow)
 {
-  mBacklogUntil.clear();
-  for (const auto& [model, time] : aQueues) {
-    mBacklogUntil[model] = aNow + time;
-  }
+  mBacklogUntil = instantsOf(aQueues, aNow);
 }
 
 std::optional<Duration>
