--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <set>
 
 #include "base/types/baseevents.h"
 #include "gateway/internal/callboard.h"
@@ -8,6 +9,7 @@
 #include "gateway/internal/statusserver.h"
 #include "gateway/internal/storefollower.h"
 #include "gateway/types/gatewayevents.h"
+#include "serving/listchanges.h"
 
 namespace savoryrill::gateway {
 
@@ -18,10 +20,18 @@
 // The configuration is waited for in one call, which the store holds for this long. On a
 // connection that has gone silent a change is seen this much later.
 constexpr Duration kConfigWait = 2500ms;
+// The same while the leader of placement tells which version is in force: a call that
+// hangs is noticed from that. Below the history that a store keeps at the least (20 s).
+constexpr Duration kConfigWaitFollowing = 15s;
+// Between two reads of a version that the leader has told.
+constexpr Duration kConfigAskPause = 1s;
 constexpr Duration kConfigPause = 50ms;
-// The list is read once in this part of the time that leaving upstreams still serve: the
-// rest is for the read itself and a failed one before it. More reads cost more calls.
+// What is known of the list may have this age, as a part of the time that leaving
+// upstreams still serve, before this host reads it: the rest is for the read itself and a
+// failed one before it. Reads of all hosts cost calls and processor time.
 constexpr double kUpstreamsPauseShare = 0.6;
+// The leader of placement reads the list for all hosts this often.
+constexpr Duration kUpstreamsPauseLeading = 500ms;
 // A balancer notices a changed readiness within this time and sends no new callers.
 constexpr Duration kBalancerTime = 2500ms;
 // Left for the last responses before the drain limit.
@@ -70,6 +80,12 @@
   void startFollowers();
   void configRead(const RowSet& aRows);
   void upstreamsRead(const RowSet& aRows, bool aWhole);
+  void listTold(const serving::ListUpdate& aUpdate, Instant aAsOf);
+  void listChanged(const std::vector<serving::DirectoryChange>& aChanges);
+  void upstreamsReadStarted();
+  void configTold(std::uint64_t aVersion);
+  void leadershipChanged(bool aLeads);
+  Duration ownUpstreamsPause() const;
   void applyChanges(const std::vector<serving::DirectoryChange>& aChanges);
   std::optional<serving::UpstreamEntry> decodeUpstream(const StoredRow& aRow);
   std::string readinessProblem() const;
@@ -91,6 +107,9 @@
   std::unique_ptr<TableFollower> mUpstreamFollower;
   std::unique_ptr<LeaderTask> mLeader;
   std::uint64_t mConfigVersion = 0;
+  std::optional<Instant> mConfigAsked; // after the leader told of a newer version
+  serving::ListChanges mListChanges;
+  bool mLeading = false;
   bool mUpstreamsKnown = false;
   std::string mReadinessLogged = "unknown";
   std::uint64_t mIgnoredRows = 0;
@@ -108,6 +127,15 @@
   handlers.demand = [this] { return mCalls.takeDemand(); };
   handlers.replicasChanged = [this] { mCalls.retryWaiting(); };
   handlers.hostsChanged = [this](std::uint32_t aHosts) { mCalls.setHosts(aHosts); };
+  handlers.listVersion = [this] {
+    return mUpstreamFollower ? mUpstreamFollower->version() : 0;
+  };
+  handlers.configVersion = [this] { return mConfigVersion; };
+  handlers.configTold = [this](std::uint64_t aVersion) { configTold(aVersion); };
+  handlers.listTold = [this](const serving::ListUpdate& aUpdate, Instant aAsOf) {
+    listTold(aUpdate, aAsOf);
+  };
+  handlers.leadershipChanged = [this](bool aLeads) { leadershipChanged(aLeads); };
   BOOST_OUTCOME_TRY(leader,
                     LeaderTask::create({ mDependencies.loop,
                                          mDependencies.log,
@@ -115,6 +143,7 @@
                                          mDependencies.store,
                                          mDependencies.control,
                                          mBoard,
+                                         mListChanges,
                                          mControlCalls },
                                        mSettings,
                                        std::move(handlers),
@@ -172,11 +201,11 @@
                                     mDependencies.log,
                                     mDependencies.metrics,
                                     config,
-                                    TableFollower::Handlers{ config_read, config_read });
+                                    TableFollower::Handlers{
+                                      config_read, config_read, {} });
   TableFollower::Options upstreams;
   upstreams.table = mDependencies.records.upstreamTable();
-  upstreams.pause =
-    std::chrono::duration_cast<Duration>(mSettings.leaveNotice * kUpstreamsPauseShare);
+  upstreams.pause = ownUpstreamsPause();
   mUpstreamFollower = std::make_unique<TableFollower>(
     mDependencies.loop,
     mDependencies.store,
@@ -185,7 +214,8 @@
     upstreams,
     TableFollower::Handlers{
       [this](const RowSet& aRows) { upstreamsRead(aRows, true); },
-      [this](const RowSet& aRows) { upstreamsRead(aRows, false); } });
+      [this](const RowSet& aRows) { upstreamsRead(aRows, false); },
+      [this] { upstreamsReadStarted(); } });
   // A waiting read that hangs since an outage would hide changes for its whole wait.
   mUpstreamFollower->onRegained([this] { mConfigFollower->readNow(); });
   mConfigFollower->start();
@@ -241,6 +271,39 @@
   return std::nullopt;
 }
 
+Duration
+GatewayImpl::ownUpstreamsPause() const
+{
+  return std::chrono::duration_cast<Duration>(mSettings.leaveNotice *
+                                              kUpstreamsPauseShare);
+}
+
+void
+GatewayImpl::leadershipChanged(bool aLeads)
+{
+  mLeading = aLeads;
+  mUpstreamFollower->setPause(aLeads ? std::min(kUpstreamsPauseLeading, ownUpstreamsPause())
+                                     : ownUpstreamsPause());
+  if (aLeads) {
+    // Others may have told what is known, without what engines hold.
+    mUpstreamFollower->readNow();
+  }
+}
+
+void
+GatewayImpl::upstreamsReadStarted()
+{
+  if (mLeading) {
+    mLeader->listReadStarted();
+    return;
+  }
+  // The leader has told nothing for a while, so a call that hangs would not be noticed.
+  mConfigFollower->setWait(kConfigWait);
+  if (mDependencies.loop.now() - mConfigFollower->started() > kConfigWait) {
+    mConfigFollower->readNow();
+  }
+}
+
 void
 GatewayImpl::upstreamsRead(const RowSet& aRows, bool aWhole)
 {
@@ -248,29 +311,78 @@
   std::vector<serving::DirectoryChange> changes;
   auto& directory = mBoard.directory();
   std::vector<serving::UpstreamEntry> entries;
+  std::set<std::string> ids;
   for (const auto& row : aRows.rows) {
     if (row.deleted) {
       directory.remove(row.key, now, changes);
+      mListChanges.removed(row.key, row.version);
       continue;
     }
     auto entry = decodeUpstream(row);
-    if (entry && aWhole) {
+    if (!entry) {
+      continue;
+    }
+    entry->rowVersion = row.version;
+    mListChanges.listed(*entry);
+    if (aWhole) {
+      ids.insert(entry->id);
       entries.push_back(std::move(*entry));
-    } else if (entry) {
+    } else {
       directory.update(std::move(*entry), now, changes);
     }
   }
   if (aWhole) {
     directory.replaceAll(std::move(entries), now, changes);
+    mListChanges.keepOnly(ids, aRows.version);
   }
+  mListChanges.readUpTo(aRows.version);
   directory.readSucceeded(now);
   mUpstreamsKnown = true;
-  applyChanges(changes);
+  listChanged(changes);
   mLeader->upstreamsRead();
+}
+
+void
+GatewayImpl::listTold(const serving::ListUpdate& aUpdate, Instant aAsOf)
+{
+  const std::uint64_t known = mUpstreamFollower->version();
+  if (mLeading || known == 0 || aUpdate.base > known) {
+    return; // it may lack changes that this host does not know
+  }
+  const auto now = mDependencies.loop.now();
+  std::vector<serving::DirectoryChange> changes;
+  if (aUpdate.version >= known) {
+    mBoard.directory().apply(aUpdate, now, changes);
+  }
+  mBoard.directory().readSucceeded(now);
+  mUpstreamFollower->confirm(aUpdate.version, aAsOf);
+  mDependencies.metrics.add("savoryrill_gateway_list_told_total");
+  mConfigFollower->setWait(kConfigWaitFollowing);
+  if (!changes.empty()) {
+    listChanged(changes);
+  }
+}
+
+void
+GatewayImpl::listChanged(const std::vector<serving::DirectoryChange>& aChanges)
+{
+  applyChanges(aChanges);
   mCalls.retryWaiting();
   noteReadiness();
 }
 
+void
+GatewayImpl::configTold(std::uint64_t aVersion)
+{
+  const auto now = mDependencies.loop.now();
+  if (aVersion <= mConfigVersion ||
+      (mConfigAsked && now - *mConfigAsked < kConfigAskPause)) {
+    return;
+  }
+  mConfigAsked = now;
+  mConfigFollower->readNow();
+}
+
 void
 GatewayImpl::applyChanges(const std::vector<serving::DirectoryChange>& aChanges)
 {
--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-// Replica views are sent when they change. A message without any is the sign of life.
-constexpr Duration kNewsPeriod = 500ms;
-// Views that changed within this time are sent to a host that connects; older changes are
-// in the platform's list.
-constexpr Duration kRecentViews = 6s;
+// News are sent after each read of the list, and after this time without one. Replica
+// views are sent when they change.
+constexpr Duration kNewsPeriod = 600ms;
+// Reports whose answer by the leader is waited for: some seconds of them.
+constexpr std::size_t kMostStamps = 64;
 // Pause between two messages with changed views, for each host that receives them.
 constexpr Duration kViewsPausePerHost = 1ms;
 
@@ -22,9 +22,10 @@
 void
 LeaderTask::peerJoined(const transport::RemotePeer& aPeer)
 {
-  mRemote[aPeer.id] = aPeer;
+  mRemote[aPeer.id].peer = aPeer;
   if (mLeading) {
-    sendRecentViews(aPeer.id);
+    mNewsSent.reset();
+    publishReplicas();
   } else if (aPeer.outgoing) {
     reportDemand();
   }
@@ -47,7 +48,7 @@
         noteBadEntry(aPeer, demand.error());
         continue;
       }
-      takeDemand(aPeer.host, demand.value());
+      takeRemoteDemand(aPeer, demand.value());
     }
   }
   if (!mLeading && mKnownLeader == aPeer.host) {
@@ -79,12 +80,20 @@
 void
 LeaderTask::reportDemand()
 {
-  const HostDemand demand{ mHandlers.demand(), mDependencies.board.ownLoads() };
+  HostDemand demand;
+  demand.items = mHandlers.demand();
+  demand.loads = mDependencies.board.ownLoads();
   mDemandSent = mDependencies.loop.now();
   if (mLeading) {
     takeDemand(mSettings.host, demand);
     return;
   }
+  demand.stamp = ++mStamp;
+  demand.listVersion = mHandlers.listVersion();
+  mStampSent[mStamp] = *mDemandSent;
+  if (mStampSent.size() > kMostStamps) {
+    mStampSent.erase(mStampSent.begin());
+  }
   peer::Delta delta;
   auto* entry = delta.add_entries();
   entry->set_kind(peer::ENTRY_KIND_DEMAND);
@@ -93,12 +102,23 @@
   entry->set_sequence(++mSequence);
   entry->set_payload(encodeDemand(demand));
   for (const auto& [id, remote] : mRemote) {
-    if (remote.outgoing) {
+    if (remote.peer.outgoing) {
       mPeers->send(id, delta);
     }
   }
 }
 
+void
+LeaderTask::takeRemoteDemand(const transport::RemotePeer& aPeer,
+                             const HostDemand& aDemand)
+{
+  if (const auto remote = mRemote.find(aPeer.id); remote != mRemote.end()) {
+    remote->second.stamp = aDemand.stamp;
+    remote->second.listVersion = aDemand.listVersion;
+  }
+  takeDemand(aPeer.host, aDemand);
+}
+
 void
 LeaderTask::takeDemand(const std::string& aHost, const HostDemand& aDemand)
 {
@@ -128,16 +148,22 @@
   mDependencies.board.leaderHeard(now);
   for (const auto& entry : aDelta.entries()) {
     if (entry.epoch() > mFollowedFencing) {
-      // Views of an earlier leader may be wrong by now; the list counts until news come.
+      // Views of an earlier leader may be wrong by now; this one has sent all of its own.
       mFollowedFencing = entry.epoch();
       mDependencies.board.forgetReplicas();
     }
     if (entry.kind() == peer::ENTRY_KIND_UPSTREAM) {
       if (auto replicas = decodeReplicas(entry.payload())) {
-        mDependencies.board.setReplicas(entry.key(), std::move(replicas.value()), now);
+        mDependencies.board.setReplicas(entry.key(), std::move(replicas.value()));
       } else {
         noteBadEntry(aPeer, replicas.error());
       }
+    } else if (entry.kind() == peer::ENTRY_KIND_LIST) {
+      if (const auto news = decodeListNews(entry.payload())) {
+        takeListNews(news.value());
+      } else {
+        noteBadEntry(aPeer, news.error());
+      }
     } else if (entry.kind() == peer::ENTRY_KIND_LEADER) {
       if (auto news = decodeLeaderNews(entry.payload())) {
         if (news.value().released) {
@@ -178,6 +204,18 @@
   mDependencies.board.setQueues(aNews.queues, aNow);
   mDependencies.board.setLoads(aNews.loads);
   mHandlers.hostsChanged(aNews.hosts);
+  mHandlers.configTold(aNews.configVersion);
+}
+
+void
+LeaderTask::takeListNews(const ListNews& aNews)
+{
+  // The leader had this report of ours when it began to read, so the list is known as of
+  // the moment at which we sent it, however long the messages took.
+  const auto sent = mStampSent.find(aNews.stamp);
+  if (sent != mStampSent.end()) {
+    mHandlers.listTold(aNews.update, sent->second);
+  }
 }
 
 std::map<std::string, std::uint32_t>
@@ -222,7 +260,7 @@
     entry->set_key(id);
     entry->set_epoch(mLeadership.fencing());
     entry->set_sequence(++mSequence);
-    entry->set_payload(encodeReplicas(mPublished[id].replicas));
+    entry->set_payload(encodeReplicas(mPublished[id]));
   }
 }
 
@@ -235,6 +273,7 @@
   news.hosts = mHosts;
   addTimes(news);
   news.loads = loadsOfAll();
+  news.configVersion = mHandlers.configVersion();
   news.rowVersion = mLeadership.base();
   return news;
 }
@@ -252,20 +291,21 @@
 }
 
 void
-LeaderTask::sendRecentViews(std::uint64_t aPeerId)
+LeaderTask::addListNews(peer::Delta& aDelta, std::uint64_t aPeerId)
 {
-  // What has not changed for a while is in the platform's list, which every host reads.
-  const auto now = mDependencies.loop.now();
-  std::vector<std::string> recent;
-  for (const auto& [id, published] : mPublished) {
-    if (now - published.changed < kRecentViews) {
-      recent.push_back(id);
-    }
+  const auto& remote = mRemote.at(aPeerId);
+  if (remote.stampRead == 0 || remote.listVersion == 0) {
+    return; // nothing was read since the host connected, or it has read nothing itself
   }
-  peer::Delta delta;
-  addViews(delta, recent);
-  addNews(delta, makeNews());
-  mPeers->send(aPeerId, delta);
+  auto update = mDependencies.list.since(remote.listVersion);
+  if (!update) {
+    return;
+  }
+  auto* entry = aDelta.add_entries();
+  entry->set_kind(peer::ENTRY_KIND_LIST);
+  entry->set_epoch(mLeadership.fencing());
+  entry->set_sequence(++mSequence);
+  entry->set_payload(encodeListNews({ remote.stampRead, std::move(*update) }));
 }
 
 void
@@ -284,57 +324,93 @@
 void
 LeaderTask::publishReplicas()
 {
+  if (!mListRead) {
+    return; // nothing is known yet that hosts could use
+  }
   const auto now = mDependencies.loop.now();
+  collectChangedViews(now);
+  mDependencies.board.leaderHeard(now);
+  mHosts = static_cast<std::uint32_t>(mRemote.size()) + 1;
+  sendViews(now);
+  if (!mNewsSent || now - *mNewsSent >= kNewsPeriod) {
+    mNewsSent = now;
+    sendNews();
+  }
+}
+
+void
+LeaderTask::sendViews(Instant aNow)
+{
+  // Changes within a short time go together, the longer the more hosts there are.
+  const Duration pause = kViewsPausePerHost * mHosts;
+  if (mUnsent.empty()) {
+    return;
+  }
+  if (mViewsSent && aNow - *mViewsSent < pause) {
+    publishSoon(pause - (aNow - *mViewsSent));
+    return;
+  }
+  mViewsSent = aNow;
+  std::vector<std::uint64_t> hosts;
+  for (const auto& [id, remote] : mRemote) {
+    if (!remote.needsAllViews) {
+      hosts.push_back(id);
+    }
+  }
+  peer::Delta delta;
+  addViews(delta, mUnsent);
+  mUnsent.clear();
+  for (const auto id : mPeers->send(hosts, delta)) {
+    mRemote[id].needsAllViews = true;
+  }
+}
+
+void
+LeaderTask::sendNews()
+{
+  const auto news = makeNews();
+  takeNews(news, mDependencies.loop.now());
+  peer::Delta common;
+  addNews(common, news);
+  std::vector<std::string> engines;
+  for (const auto& [id, replicas] : mPublished) {
+    engines.push_back(id);
+  }
+  for (auto& [id, remote] : mRemote) {
+    peer::Delta delta = common;
+    if (remote.needsAllViews) {
+      addViews(delta, engines);
+    }
+    addListNews(delta, id);
+    remote.needsAllViews = !mPeers->send(std::vector{ id }, delta).empty();
+  }
+}
+
+void
+LeaderTask::collectChangedViews(Instant aNow)
+{
   bool changed = false;
   for (const auto& [group, planner] : mPlanners) {
     for (const auto& id : planner->engineIds()) {
-      auto view = planner->view(id, now);
+      auto view = planner->view(id, aNow);
       // Hosts send requests to ready models only; changes of others are not worth a
       // message.
       std::erase_if(view, [](const serving::ReplicaView& aReplica) {
         return aReplica.phase != serving::ReplicaPhase::Ready;
       });
       const auto [published, added] = mPublished.try_emplace(id);
-      if (!added && sameApartFromTimes(view, published->second.replicas)) {
+      if (!added && sameApartFromTimes(view, published->second)) {
         continue;
       }
-      published->second.replicas = std::move(view);
-      mDependencies.board.setReplicas(id, published->second.replicas, now);
+      published->second = std::move(view);
+      mDependencies.board.setReplicas(id, published->second);
+      mUnsent.push_back(id);
       changed = true;
-      if (!added) {
-        published->second.changed = now;
-        mUnsent.push_back(id);
-      }
     }
   }
-  mDependencies.board.leaderHeard(now);
   if (changed) {
     mHandlers.replicasChanged();
   }
-  mHosts = static_cast<std::uint32_t>(mRemote.size()) + 1;
-  const bool news_due = !mNewsSent || now - *mNewsSent >= kNewsPeriod;
-  if (mUnsent.empty() && !news_due) {
-    return;
-  }
-  // Changes within a short time go together, the longer the more hosts there are.
-  const Duration pause = kViewsPausePerHost * mHosts;
-  if (!news_due && mViewsSent && now - *mViewsSent < pause) {
-    publishSoon(pause - (now - *mViewsSent));
-    return;
-  }
-  peer::Delta delta;
-  addViews(delta, mUnsent);
-  mUnsent.clear();
-  mViewsSent = now;
-  if (news_due) {
-    mNewsSent = now;
-    const auto news = makeNews();
-    takeNews(news, now);
-    addNews(delta, news);
-  }
-  for (const auto& [id, remote] : mRemote) {
-    mPeers->send(id, delta);
-  }
 }
 
 } // namespace savoryrill::gateway
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -133,12 +133,25 @@
   }
 }
 
+void
+LeaderTask::listReadStarted()
+{
+  for (auto& [id, remote] : mRemote) {
+    remote.stampAtRead = remote.stamp;
+  }
+}
+
 void
 LeaderTask::upstreamsRead()
 {
   if (!mLeading) {
     return;
   }
+  mListRead = true;
+  mNewsSent.reset(); // what the read has shown is told at once
+  for (auto& [id, remote] : mRemote) {
+    remote.stampRead = remote.stampAtRead;
+  }
   const auto now = mDependencies.loop.now();
   for (const auto& [id, entry] : mDependencies.board.directory().entries()) {
     if (auto* planner = plannerOf(entry.group)) {
@@ -288,15 +301,18 @@
     return;
   }
   mLeading = leads;
+  mListRead = false;
   mPublished.clear();
   mUnsent.clear();
-  if (!leads) {
-    announceRelease();
+  for (auto& [id, remote] : mRemote) {
+    remote.needsAllViews = true;
   }
   if (leads) {
     mPlanners.clear();
-    upstreamsRead();
+  } else {
+    announceRelease();
   }
+  mHandlers.leadershipChanged(leads);
   followEndpoint();
 }
 
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -18,6 +18,7 @@
 #include "gateway/upstreamboard.h"
 #include "link/callset.h"
 #include "serving/leadership.h"
+#include "serving/listchanges.h"
 #include "serving/placementplanner.h"
 #include "transport/peernetwork.h"
 
@@ -37,6 +38,7 @@
     IRowStore& store;
     const IControlProtocol& protocol;
     UpstreamBoard& board;
+    const serving::ListChanges& list; // as this host has read it
     link::CallSet& calls;
   };
   struct Handlers
@@ -47,6 +49,16 @@
     std::function<void()> replicasChanged;
     /// Hosts that exchange demand.
     std::function<void(std::uint32_t)> hostsChanged;
+    /// Version up to which this host knows the list of upstreams; 0: not at all.
+    std::function<std::uint64_t()> listVersion;
+    /// Version of the configuration in force here.
+    std::function<std::uint64_t()> configVersion;
+    /// The leader has this version of the configuration.
+    std::function<void(std::uint64_t)> configTold;
+    /// The leader has read the list of upstreams, beginning at the given time or later.
+    std::function<void(const serving::ListUpdate&, Instant)> listTold;
+    /// This host leads from now on, or does not any more.
+    std::function<void(bool)> leadershipChanged;
   };
 
   /// Fails with Unavailable if the peer address cannot be bound.
@@ -61,6 +73,8 @@
   void setConfig(const serving::ServingConfig& aConfig);
   /// Takes changes of the list of upstreams.
   void upstreamsChanged(const std::vector<serving::DirectoryChange>& aChanges);
+  /// A read of the list begins, whose result counts for what has arrived until now.
+  void listReadStarted();
   /// The list was read: entries have newer reports.
   void upstreamsRead();
   /// Demand has appeared that no report named yet.
@@ -90,6 +104,7 @@
   void followEndpoint();
 
   void reportDemand();
+  void takeRemoteDemand(const transport::RemotePeer& aPeer, const HostDemand& aDemand);
   void takeDemand(const std::string& aHost, const HostDemand& aDemand);
   std::map<std::string, std::uint32_t> loadsOfAll() const;
   void announceRelease();
@@ -101,9 +116,14 @@
   void sendOrder(const serving::PlacementOrder& aOrder);
   void readReport(const std::string& aUpstream);
   void publishReplicas();
+  void collectChangedViews(Instant aNow);
   void publishSoon(Duration aDelay);
-  void sendRecentViews(std::uint64_t aPeerId);
+  void sendNews();
+  void sendViews(Instant aNow);
   void addViews(peer::Delta& aDelta, const std::vector<std::string>& aUpstreams);
+  /// Adds what the list has changed for a host, if that may be told.
+  void addListNews(peer::Delta& aDelta, std::uint64_t aPeerId);
+  void takeListNews(const ListNews& aNews);
   LeaderNews makeNews();
   void addNews(peer::Delta& aDelta, const LeaderNews& aNews);
   /// Fills in the expected times of the models that callers wait for.
@@ -119,23 +139,31 @@
   serving::Leadership mLeadership;
   std::map<std::string, serving::EngineProfile> mProfiles; // by group
   std::map<std::string, std::unique_ptr<serving::PlacementPlanner>> mPlanners;
-  struct Published
+  std::map<std::string, std::vector<serving::ReplicaView>> mPublished; // by engine
+  std::vector<std::string> mUnsent; // engines whose views have changed
+  struct Remote
   {
-    std::vector<serving::ReplicaView> replicas;
-    Instant changed{};
+    transport::RemotePeer peer;
+    // What the host knows of the list, and the number of its message that said so.
+    std::uint64_t listVersion = 0;
+    std::uint64_t stamp = 0;
+    std::uint64_t stampAtRead = 0; // the latest when the read under way began
+    std::uint64_t stampRead = 0;   // the same of the last read that succeeded
+    bool needsAllViews = true;     // it has connected, or a message to it was lost
   };
-  std::map<std::string, Published> mPublished;
-  std::vector<std::string> mUnsent; // engines whose views have changed
-  std::map<std::uint64_t, transport::RemotePeer> mRemote;
+  std::map<std::uint64_t, Remote> mRemote;
   std::map<std::string, std::map<std::string, std::uint32_t>> mLoads; // by host, upstream
   std::string mConnectedTo;
   std::string mKnownLeader;
   bool mLeading = false;
+  bool mListRead = false; // since this host leads
   bool mStopping = false;
   std::optional<Instant> mPlanned; // when the last plan was made
   bool mDemandPosted = false;
   bool mLeaseCallFailed = false; // since the last success
   std::uint64_t mSequence = 0;
+  std::uint64_t mStamp = 0; // of the last demand that was sent
+  std::map<std::uint64_t, Instant> mStampSent; // of recent ones
   std::uint32_t mHosts = 0;
   std::optional<Instant> mDemandSent;
   std::optional<Instant> mNewsSent;
--- a/src/gateway/internal/peercodec.cpp
+++ b/src/gateway/internal/peercodec.cpp
@@ -57,6 +57,8 @@
       encoded->set_earliest_deadline_ms(milliseconds(*item.deadline));
     }
   }
+  content.set_stamp(aDemand.stamp);
+  content.set_list_version(aDemand.listVersion);
   return content.SerializeAsString();
 }
 
@@ -68,6 +70,8 @@
     return fail(ErrorCode::Malformed, "demand cannot be parsed");
   }
   HostDemand demand;
+  demand.stamp = content.stamp();
+  demand.listVersion = content.list_version();
   for (const auto& load : content.loads()) {
     demand.loads[load.upstream()] = load.in_flight();
   }
@@ -155,6 +159,7 @@
     load->set_upstream(upstream);
     load->set_in_flight(in_flight);
   }
+  content.set_config_version(aNews.configVersion);
   content.set_row_version(aNews.rowVersion);
   content.set_released(aNews.released);
   return content.SerializeAsString();
@@ -180,11 +185,70 @@
   for (const auto& load : content.loads()) {
     news.loads[load.upstream()] = load.in_flight();
   }
+  news.configVersion = content.config_version();
   news.rowVersion = content.row_version();
   news.released = content.released();
   return news;
 }
 
+std::string
+encodeListNews(const ListNews& aNews)
+{
+  peer::ListContent content;
+  content.set_stamp(aNews.stamp);
+  content.set_base(aNews.update.base);
+  content.set_version(aNews.update.version);
+  for (const auto& entry : aNews.update.entries) {
+    auto* encoded = content.add_upstreams();
+    encoded->set_id(entry.id);
+    encoded->set_born_ms(entry.bornMs);
+    encoded->set_group(entry.group);
+    encoded->set_data_centre(entry.dataCentre);
+    encoded->set_address(entry.endpoint.address);
+    encoded->set_port(entry.endpoint.port);
+    encoded->set_concurrency(entry.concurrency);
+    encoded->set_leaving(entry.leaving);
+    encoded->set_leaves_in_ms(milliseconds(entry.leavesIn));
+    encoded->set_row_version(entry.rowVersion);
+  }
+  for (const auto& id : aNews.update.removed) {
+    content.add_removed(id);
+  }
+  return content.SerializeAsString();
+}
+
+Result<ListNews>
+decodeListNews(const std::string& aPayload)
+{
+  peer::ListContent content;
+  if (!content.ParseFromString(aPayload)) {
+    return fail(ErrorCode::Malformed, "changes of the list cannot be parsed");
+  }
+  ListNews news;
+  news.stamp = content.stamp();
+  news.update.base = content.base();
+  news.update.version = content.version();
+  for (const auto& encoded : content.upstreams()) {
+    constexpr std::uint32_t kMostPort = 65535;
+    if (encoded.id().empty() || encoded.port() == 0 || encoded.port() > kMostPort) {
+      return fail(ErrorCode::Malformed, "upstream without id or port");
+    }
+    serving::UpstreamEntry entry;
+    entry.id = encoded.id();
+    entry.bornMs = encoded.born_ms();
+    entry.group = encoded.group();
+    entry.dataCentre = encoded.data_centre();
+    entry.endpoint = { encoded.address(), static_cast<std::uint16_t>(encoded.port()) };
+    entry.concurrency = encoded.concurrency();
+    entry.leaving = encoded.leaving();
+    entry.leavesIn = std::chrono::milliseconds(encoded.leaves_in_ms());
+    entry.rowVersion = encoded.row_version();
+    news.update.entries.push_back(std::move(entry));
+  }
+  news.update.removed.assign(content.removed().begin(), content.removed().end());
+  return news;
+}
+
 bool
 sameApartFromTimes(const std::vector<serving::ReplicaView>& aLeft,
                    const std::vector<serving::ReplicaView>& aRight)
--- a/src/gateway/internal/peercodec.h
+++ b/src/gateway/internal/peercodec.h
@@ -8,6 +8,7 @@
 
 #include "base/result.h"
 #include "base/types/time.h"
+#include "serving/types/listupdate.h"
 #include "serving/types/placement.h"
 
 namespace savoryrill::gateway {
@@ -21,6 +22,7 @@
   std::map<std::string, Duration> waits;      // until models are ready
   std::map<std::string, Duration> queues;     // until backlogs of full models are gone
   std::map<std::string, std::uint32_t> loads; // requests in progress, by upstream
+  std::uint64_t configVersion = 0;            // in force at the leader
   std::uint64_t rowVersion = 0;               // of the leader's row
   bool released = false;                      // it gives no more orders
 };
@@ -30,6 +32,15 @@
 {
   std::vector<serving::DemandItem> items;
   std::map<std::string, std::uint32_t> loads; // requests in progress, by upstream
+  std::uint64_t stamp = 0;                    // number of this message
+  std::uint64_t listVersion = 0;              // of the list of upstreams; 0: unknown
+};
+
+/// What the leader has read in the list of upstreams for one host.
+struct ListNews
+{
+  std::uint64_t stamp = 0; // of a demand that had arrived before the read began
+  serving::ListUpdate update;
 };
 
 // Contents of entries between gateways, in the messages of peer.proto. Decoding fails
@@ -50,6 +61,11 @@
 Result<LeaderNews>
 decodeLeaderNews(const std::string& aPayload);
 
+std::string
+encodeListNews(const ListNews& aNews);
+Result<ListNews>
+decodeListNews(const std::string& aPayload);
+
 /// Compares views without the expected times, which change all the time.
 bool
 sameApartFromTimes(const std::vector<serving::ReplicaView>& aLeft,
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -1,9 +1,18 @@
 #include "gateway/internal/storefollower.h"
 
+#include <algorithm>
+
 #include "gateway/types/gatewayevents.h"
 
 namespace savoryrill::gateway {
 
+namespace {
+
+// Bounds the rate of reads if each takes as long as the pause between them.
+constexpr Duration kLeastPause = 50ms;
+
+} // namespace
+
 TableFollower::TableFollower(event::Loop& aLoop,
                              IRowStore& aStore,
                              EventLog& aLog,
@@ -22,10 +31,11 @@
 void
 TableFollower::readWhole()
 {
-  mStore.readTable(mOptions.table, [this, call = ++mCall](Result<RowSet> aRows) {
+  mStore.readTable(mOptions.table, [this, call = mCall](Result<RowSet> aRows) {
     if (call != mCall) {
       return;
     }
+    mReading = false;
     if (!aRows) {
       noteFailure(aRows.error());
       readLater(mOptions.failurePause);
@@ -39,8 +49,9 @@
     }
     mVersion = aRows.value().version;
     mNeedsWhole = false;
+    mKnownAt = mStarted;
     mHandlers.whole(aRows.value());
-    readLater(mOptions.pause);
+    readWhenOld();
   });
 }
 
@@ -50,10 +61,11 @@
   mStore.readChanges(mOptions.table,
                      *mVersion,
                      mOptions.wait,
-                     [this, call = ++mCall](Result<RowSet> aRows) {
+                     [this, call = mCall](Result<RowSet> aRows) {
                        if (call != mCall) {
                          return;
                        }
+                       mReading = false;
                        if (!aRows) {
                          if (aRows.error().code == ErrorCode::NotFound) {
                            // The history is gone, so changes may have been missed.
@@ -67,8 +79,9 @@
                        }
                        noteSuccess();
                        mVersion = std::max(*mVersion, aRows.value().version);
+                       mKnownAt = mStarted;
                        mHandlers.changes(aRows.value());
-                       readLater(mOptions.pause);
+                       readWhenOld();
                      });
 }
 
@@ -78,9 +91,29 @@
   mTimer = mLoop.after(aPause, [this] { read(); });
 }
 
+void
+TableFollower::readWhenOld()
+{
+  if (mReading) {
+    return; // asked for by a handler
+  }
+  if (mOptions.wait > Duration::zero()) {
+    readLater(mOptions.pause);
+    return;
+  }
+  readLater(std::max(kLeastPause, *mKnownAt + mOptions.pause - mLoop.now()));
+}
+
 void
 TableFollower::read()
 {
+  mTimer.reset();
+  mReading = true;
+  mStarted = mLoop.now();
+  ++mCall;
+  if (mHandlers.started) {
+    mHandlers.started();
+  }
   if (mNeedsWhole) {
     readWhole();
   } else {
@@ -91,10 +124,32 @@
 void
 TableFollower::readNow()
 {
-  mTimer.reset();
   read();
 }
 
+void
+TableFollower::setPause(Duration aPause)
+{
+  mOptions.pause = aPause;
+  if (mKnownAt && !mLostSince) {
+    readWhenOld();
+  }
+}
+
+void
+TableFollower::confirm(std::uint64_t aVersion, Instant aAsOf)
+{
+  if (!mVersion || !mKnownAt) {
+    return;
+  }
+  mVersion = std::max(*mVersion, aVersion);
+  mNeedsWhole = true;
+  mKnownAt = std::max(*mKnownAt, aAsOf);
+  if (!mReading) {
+    readWhenOld();
+  }
+}
+
 void
 TableFollower::noteSuccess()
 {
--- a/src/gateway/internal/storefollower.h
+++ b/src/gateway/internal/storefollower.h
@@ -16,7 +16,8 @@
 namespace savoryrill::gateway {
 
 /// Follows one table of the platform's store: reads it whole, then its changes, and whole
-/// again after a gap. Versions only go up. Not thread safe.
+/// again after a gap. Another host that reads the same table can spare it reads, see
+/// `confirm`. Versions only go up. Not thread safe.
 class TableFollower
 {
 public:
@@ -24,13 +25,15 @@
   {
     std::string table;
     Duration wait = Duration::zero(); // how long a read of changes may wait for one
-    Duration pause = 1s;              // between two reads
+    /// Age of what is known at which it is read again; the pause after a read that waits.
+    Duration pause = 1s;
     Duration failurePause = 300ms;    // after a read that failed
   };
   struct Handlers
   {
     std::function<void(const RowSet&)> whole;
     std::function<void(const RowSet&)> changes;
+    std::function<void()> started; // a read that may succeed begins; may be empty
   };
 
   TableFollower(event::Loop& aLoop,
@@ -40,7 +43,22 @@
                 Options aOptions,
                 Handlers aHandlers);
 
-  void start() { readWhole(); }
+  void start() { read(); }
+
+  /// Times of later reads; the one that is planned is moved.
+  void setPause(Duration aPause);
+  /// Waiting time of later reads.
+  void setWait(Duration aWait) { mOptions.wait = aWait; }
+
+  /// When the latest read began.
+  Instant started() const { return mStarted; }
+
+  /// Version up to which the table is known; 0 before the first read.
+  std::uint64_t version() const { return mVersion.value_or(0); }
+
+  /// What is known was brought to `aVersion` by another host, whose read began at `aAsOf`
+  /// or later. The next read is a whole one, since others tell only a part of the rows.
+  void confirm(std::uint64_t aVersion, Instant aAsOf);
 
   /// Reads at once, without waiting for a call under way: it may hang since an outage of
   /// the store that another reader has seen end.
@@ -53,6 +71,7 @@
   void readWhole();
   void readChanges();
   void readLater(Duration aPause);
+  void readWhenOld();
   void read();
   void noteSuccess();
   void noteFailure(const Error& aError);
@@ -65,6 +84,9 @@
   Handlers mHandlers;
   std::optional<std::uint64_t> mVersion;
   bool mNeedsWhole = true;
+  bool mReading = false;
+  Instant mStarted{};        // of the latest read
+  std::optional<Instant> mKnownAt; // the table is known as of this moment or later
   std::uint64_t mCall = 0; // results of earlier calls are ignored
   std::function<void()> mRegained;
   std::optional<Instant> mLostSince;
--- a/src/gateway/internal/upstreamboard.cpp
+++ b/src/gateway/internal/upstreamboard.cpp
@@ -47,15 +47,43 @@
 
 void
 UpstreamBoard::setReplicas(const std::string& aUpstream,
-                           std::vector<serving::ReplicaView> aReplicas,
-                           Instant aNow)
+                           std::vector<serving::ReplicaView> aReplicas)
 {
-  mReplicas[aUpstream] = { std::move(aReplicas), aNow };
+  dropCopies(aUpstream);
+  for (const auto& replica : aReplicas) {
+    if (replica.phase == serving::ReplicaPhase::Ready) {
+      mCopies[replica.model].insert(aUpstream);
+    }
+  }
+  mReplicas[aUpstream] = std::move(aReplicas);
   if (const auto found = mExperience.find(aUpstream); found != mExperience.end()) {
     found->second.declinedUntil.clear();
   }
 }
 
+void
+UpstreamBoard::dropCopies(const std::string& aUpstream)
+{
+  const auto known = mReplicas.find(aUpstream);
+  if (known == mReplicas.end()) {
+    return;
+  }
+  for (const auto& replica : known->second) {
+    const auto copies = mCopies.find(replica.model);
+    if (copies != mCopies.end() && copies->second.erase(aUpstream) > 0 &&
+        copies->second.empty()) {
+      mCopies.erase(copies);
+    }
+  }
+}
+
+void
+UpstreamBoard::forgetReplicas()
+{
+  mReplicas.clear();
+  mCopies.clear();
+}
+
 void
 UpstreamBoard::setWaits(const std::map<std::string, Duration>& aWaits, Instant aNow)
 {
@@ -110,7 +138,7 @@
   }
   const auto replicas = mReplicas.find(aEntry.id);
   if (replicas != mReplicas.end() && leaderIsFresh(aNow)) {
-    return std::ranges::any_of(replicas->second.list, [&](const auto& aReplica) {
+    return std::ranges::any_of(replicas->second, [&](const auto& aReplica) {
       return aReplica.model == aModel.model &&
              aReplica.phase == serving::ReplicaPhase::Ready &&
              (aModel.adapter.empty() ||
@@ -137,13 +165,44 @@
   return found == mOtherLoads.end() || !leaderIsFresh(aNow) ? 0 : found->second;
 }
 
+std::vector<const serving::UpstreamEntry*>
+UpstreamBoard::holders(const std::string& aGroup,
+                       const serving::ModelKey& aModel,
+                       Instant aNow) const
+{
+  std::vector<const serving::UpstreamEntry*> found;
+  const auto consider = [&](const serving::UpstreamEntry& aEntry) {
+    if (aEntry.group == aGroup && !aEntry.leaving && holds(aEntry, aModel, aNow)) {
+      found.push_back(&aEntry);
+    }
+  };
+  // The leader tells of every engine that is listed, but of new ones a moment later.
+  const bool indexed =
+    !aModel.model.empty() && leaderIsFresh(aNow) && !mReplicas.empty();
+  if (!indexed) {
+    for (const auto& [id, entry] : mDirectory.entries()) {
+      consider(entry);
+    }
+    return found;
+  }
+  const auto copies = mCopies.find(aModel.model);
+  if (copies == mCopies.end()) {
+    return found;
+  }
+  for (const auto& id : copies->second) {
+    if (const auto* entry = mDirectory.find(id)) {
+      consider(*entry);
+    }
+  }
+  return found;
+}
+
 bool
 UpstreamBoard::usable(const serving::UpstreamEntry& aEntry,
                       const Query& aQuery,
                       Instant aNow) const
 {
-  if (aEntry.group != aQuery.group->name || aEntry.leaving ||
-      aQuery.excluded.contains(aEntry.id) || !holds(aEntry, aQuery.model, aNow)) {
+  if (aQuery.excluded.contains(aEntry.id)) {
     return false;
   }
   const std::uint32_t others_load = othersLoad(aEntry.id, aNow);
@@ -164,15 +223,16 @@
   std::vector<routing::Candidate> candidates;
   std::vector<routing::Candidate> suspects;
   const auto prefix = mPrefixUpstream.find(aQuery.sharedPrefix);
-  for (const auto& [id, entry] : mDirectory.entries()) {
-    if (!usable(entry, aQuery, aNow)) {
+  for (const auto* entry : holders(aQuery.group->name, aQuery.model, aNow)) {
+    if (!usable(*entry, aQuery, aNow)) {
       continue;
     }
+    const auto& id = entry->id;
     const auto experience = mExperience.find(id);
     routing::Candidate candidate;
     candidate.upstream = id;
     candidate.reportedLoad = othersLoad(id, aNow);
-    candidate.sameDataCentre = entry.dataCentre == mDataCentre;
+    candidate.sameDataCentre = entry->dataCentre == mDataCentre;
     if (experience != mExperience.end()) {
       candidate.ownInFlight = experience->second.inFlight;
     }
@@ -204,11 +264,7 @@
 std::optional<Duration>
 UpstreamBoard::readyIn(const Query& aQuery, Instant aNow) const
 {
-  const bool held = std::ranges::any_of(mDirectory.entries(), [&](const auto& aItem) {
-    return aItem.second.group == aQuery.group->name && !aItem.second.leaving &&
-           holds(aItem.second, aQuery.model, aNow);
-  });
-  if (held) {
+  if (!holders(aQuery.group->name, aQuery.model, aNow).empty()) {
     return Duration::zero();
   }
   const auto found = mReadyAt.find(aQuery.model.model);
@@ -279,6 +335,7 @@
 void
 UpstreamBoard::forget(const std::string& aUpstream)
 {
+  dropCopies(aUpstream);
   mReplicas.erase(aUpstream);
   mExperience.erase(aUpstream);
 }
--- a/src/gateway/tests/codectest.cpp
+++ b/src/gateway/tests/codectest.cpp
@@ -44,6 +44,46 @@
   CHECK_FALSE(decodeDemand("\xff\xff").has_value());
 }
 
+TEST(GatewayCodec, ListNews_SurviveEncoding)
+{
+  ListNews news;
+  news.stamp = 12;
+  news.update.base = 100;
+  news.update.version = 120;
+  serving::UpstreamEntry entry;
+  entry.id = "u";
+  entry.bornMs = 1'790'000'000'000;
+  entry.group = "g";
+  entry.dataCentre = "z";
+  entry.endpoint = { "10.0.0.1", 8080 };
+  entry.concurrency = 12;
+  entry.leaving = true;
+  entry.leavesIn = 1500ms;
+  entry.rowVersion = 115;
+  news.update.entries.push_back(entry);
+  news.update.removed = { "v" };
+  const auto decoded = decodeListNews(encodeListNews(news)).value();
+  LONGS_EQUAL(12, decoded.stamp);
+  LONGS_EQUAL(100, decoded.update.base);
+  LONGS_EQUAL(120, decoded.update.version);
+  const auto& copy = decoded.update.entries.at(0);
+  CHECK_TRUE(copy.id == "u" && copy.group == "g" && copy.dataCentre == "z");
+  CHECK_TRUE(copy.bornMs == entry.bornMs && copy.endpoint == entry.endpoint);
+  CHECK_TRUE(copy.leaving && copy.leavesIn == 1500ms && copy.concurrency == 12);
+  STRCMP_EQUAL("v", decoded.update.removed.at(0).c_str());
+  CHECK_FALSE(decodeListNews("\xff\xff").has_value());
+}
+
+// Guards against connections to port 0 and entries that cannot be found again.
+TEST(GatewayCodec, ListNewsWithoutPort_Malformed)
+{
+  ListNews news;
+  serving::UpstreamEntry entry;
+  entry.id = "u";
+  news.update.entries.push_back(entry);
+  CHECK_FALSE(decodeListNews(encodeListNews(news)).has_value());
+}
+
 TEST(GatewayCodec, ReplicasAndNews_SurviveEncoding)
 {
   const std::vector<serving::ReplicaView> replicas{
@@ -156,7 +196,7 @@
 {
   add("u1", "m");
   board.leaderHeard(now);
-  board.setReplicas("u1", {}, now);
+  board.setReplicas("u1", {});
   CHECK_FALSE(choose("m").has_value());
   board.forgetReplicas();
   CHECK_TRUE(choose("m").has_value());
@@ -166,7 +206,7 @@
 {
   add("u1", "m");
   board.leaderHeard(now);
-  board.setReplicas("u1", { { "m", serving::ReplicaPhase::Unloading, 0ms, {} } }, now);
+  board.setReplicas("u1", { { "m", serving::ReplicaPhase::Unloading, 0ms, {} } });
   CHECK_FALSE(choose("m").has_value());
   now += 10s; // without the leader the platform's list counts
   CHECK_TRUE(choose("m").has_value());
--- a/src/gateway/upstreamboard.h
+++ b/src/gateway/upstreamboard.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "base/types/time.h"
@@ -31,11 +32,10 @@
 
   /// The leader's view of an engine; used while it is fresh.
   void setReplicas(const std::string& aUpstream,
-                   std::vector<serving::ReplicaView> aReplicas,
-                   Instant aNow);
+                   std::vector<serving::ReplicaView> aReplicas);
   void leaderHeard(Instant aNow) { mLeaderHeard = aNow; }
   /// Drops the views of a leader that another one has followed.
-  void forgetReplicas() { mReplicas.clear(); }
+  void forgetReplicas();
   /// Expected times until models are ready, from the leader.
   void setWaits(const std::map<std::string, Duration>& aWaits, Instant aNow);
   /// Expected times until the backlogs of models with full copies are worked off, from
@@ -91,17 +91,18 @@
     double failureShare = 0; // moving share of failed requests
     std::map<serving::ModelKey, Instant> declinedUntil;
   };
-  struct Replicas
-  {
-    std::vector<serving::ReplicaView> list;
-    Instant at{};
-  };
-
   bool holds(const serving::UpstreamEntry& aEntry,
              const serving::ModelKey& aModel,
              Instant aNow) const;
   bool leaderIsFresh(Instant aNow) const;
   std::uint32_t othersLoad(const std::string& aUpstream, Instant aNow) const;
+  /// Upstreams of the group that hold the model, without leaving ones. Costs grow with
+  /// the copies of a model, not with the upstreams, while the leader is fresh.
+  std::vector<const serving::UpstreamEntry*> holders(const std::string& aGroup,
+                                                     const serving::ModelKey& aModel,
+                                                     Instant aNow) const;
+  void dropCopies(const std::string& aUpstream);
+  /// Precondition: it is one of the holders.
   bool usable(const serving::UpstreamEntry& aEntry,
               const Query& aQuery,
               Instant aNow) const;
@@ -109,7 +110,8 @@
   std::string mDataCentre;
   std::mt19937_64 mRandom;
   serving::UpstreamDirectory mDirectory;
-  std::map<std::string, Replicas> mReplicas;
+  std::map<std::string, std::vector<serving::ReplicaView>> mReplicas; // of the leader
+  std::unordered_map<std::string, std::set<std::string>> mCopies; // ready ones, by model
   std::map<std::string, Experience> mExperience;
   std::map<std::string, Instant> mReadyAt;          // by model, from the leader
   std::map<std::string, Instant> mBacklogUntil;     // by model, from the leader
--- a/src/serving/internal/upstreamdirectory.cpp
+++ b/src/serving/internal/upstreamdirectory.cpp
@@ -95,6 +95,25 @@
   }
 }
 
+void
+UpstreamDirectory::apply(const ListUpdate& aUpdate,
+                         Instant aNow,
+                         std::vector<DirectoryChange>& aChanges)
+{
+  for (auto entry : aUpdate.entries) {
+    const auto found = mEntries.find(entry.id);
+    if (found != mEntries.end() && found->second.bornMs == entry.bornMs) {
+      // Heartbeats are not told, and the newest report that was read still counts.
+      entry.heartbeat = found->second.heartbeat;
+      entry.engine = found->second.engine;
+    }
+    update(std::move(entry), aNow, aChanges);
+  }
+  for (const auto& id : aUpdate.removed) {
+    remove(id, aNow, aChanges);
+  }
+}
+
 void
 UpstreamDirectory::readSucceeded(Instant aNow)
 {
--- /dev/null
+++ b/src/serving/tests/listchangestest.cpp
@@ -0,0 +1,115 @@
+#include <CppUTest/TestHarness.h>
+
+#include "serving/listchanges.h"
+#include "serving/upstreamdirectory.h"
+
+using namespace savoryrill;
+using serving::DirectoryChange;
+using serving::ListChanges;
+using serving::UpstreamDirectory;
+using serving::UpstreamEntry;
+
+TEST_GROUP(ListChanges)
+{
+  ListChanges changes;
+  std::uint64_t version = 100;
+
+  static UpstreamEntry entry(
+    const std::string& aId, std::uint64_t aRowVersion, bool aLeaving = false)
+  {
+    UpstreamEntry result;
+    result.id = aId;
+    result.bornMs = 1;
+    result.group = "g";
+    result.endpoint = { "10.0.0.1", 80 };
+    result.heartbeat = aRowVersion;
+    result.rowVersion = aRowVersion;
+    result.leaving = aLeaving;
+    return result;
+  }
+
+  void list(const UpstreamEntry& aEntry)
+  {
+    changes.listed(aEntry);
+    version = std::max(version, aEntry.rowVersion);
+    changes.readUpTo(version);
+  }
+};
+
+TEST(ListChanges, NothingRead_NothingIsTold)
+{
+  CHECK_FALSE(changes.since(0).has_value());
+  CHECK_FALSE(changes.since(1000).has_value());
+}
+
+// Guards against messages of the size of the list, since each entry changes with each
+// heartbeat.
+TEST(ListChanges, OnlyHeartbeatsChange_UpdateIsEmpty)
+{
+  list(entry("u", 101));
+  list(entry("u", 105));
+  list(entry("u", 109));
+  const auto update = changes.since(101);
+  LONGS_EQUAL(0, update->entries.size());
+  LONGS_EQUAL(109, update->version);
+}
+
+TEST(ListChanges, UpstreamLeaves_ToldToHostsThatKnowLess)
+{
+  list(entry("u", 101));
+  list(entry("u", 105, true));
+  LONGS_EQUAL(1, changes.since(104)->entries.size());
+  CHECK_TRUE(changes.since(104)->entries[0].leaving);
+  LONGS_EQUAL(0, changes.since(105)->entries.size());
+}
+
+// Guards against a host that goes on sending to an upstream whose removal it missed.
+TEST(ListChanges, RemovalMayBeForgotten_NothingIsTold)
+{
+  list(entry("u", 101));
+  CHECK_TRUE(changes.since(101).has_value());
+  CHECK_FALSE(changes.since(100).has_value()); // before the first read
+  for (std::size_t at = 0; at <= ListChanges::kMostRemoved; ++at) {
+    changes.removed("v" + std::to_string(at), 200 + at);
+  }
+  changes.readUpTo(2000);
+  CHECK_FALSE(changes.since(150).has_value());
+  LONGS_EQUAL(ListChanges::kMostRemoved, changes.since(200)->removed.size());
+}
+
+TEST(ListChanges, WholeListLacksEntry_RemovalIsTold)
+{
+  list(entry("u", 101));
+  list(entry("v", 102));
+  changes.keepOnly({ "v" }, 110);
+  changes.readUpTo(110);
+  const auto update = changes.since(103);
+  LONGS_EQUAL(1, update->removed.size());
+  STRCMP_EQUAL("u", update->removed[0].c_str());
+  list(entry("u", 120)); // under the same id again
+  LONGS_EQUAL(0, changes.since(110)->removed.size());
+  LONGS_EQUAL(1, changes.since(110)->entries.size());
+}
+
+// Guards against a directory that loses what engines hold when another host reads for it.
+TEST(ListChanges, UpdateIsApplied_ReportsOfEnginesAreKept)
+{
+  UpstreamDirectory directory;
+  std::vector<DirectoryChange> found;
+  auto known = entry("u", 101);
+  known.engine.models = { { "m", 1, {} } };
+  directory.update(known, Instant{ 1s }, found);
+  list(entry("u", 101));
+  list(entry("u", 105, true));
+  list(entry("w", 106));
+  changes.removed("x", 107);
+  changes.readUpTo(107);
+  directory.update(entry("x", 100), Instant{ 1s }, found);
+  found.clear();
+  directory.apply(*changes.since(101), Instant{ 2s }, found);
+  CHECK_TRUE(directory.find("u")->leaving);
+  LONGS_EQUAL(1, directory.find("u")->engine.models.size());
+  CHECK_TRUE(directory.find("w") != nullptr);
+  CHECK_TRUE(directory.find("x") == nullptr);
+  LONGS_EQUAL(3, found.size()); // leaving, added, vanished
+}
--- a/src/serving/upstreamdirectory.h
+++ b/src/serving/upstreamdirectory.h
@@ -8,7 +8,7 @@
 
 #include "base/types/enumnames.h"
 #include "base/types/time.h"
-#include "serving/types/upstreamentry.h"
+#include "serving/types/listupdate.h"
 
 namespace savoryrill::serving {
 
@@ -51,6 +51,11 @@
                   Instant aNow,
                   std::vector<DirectoryChange>& aChanges);
 
+  /// Takes changes that another host has read. Known engines keep what they reported.
+  void apply(const ListUpdate& aUpdate,
+             Instant aNow,
+             std::vector<DirectoryChange>& aChanges);
+
   /// Notes a successful read, after its changes were taken.
   void readSucceeded(Instant aNow);
 
--- a/src/transport/internal/peernetwork.cpp
+++ b/src/transport/internal/peernetwork.cpp
@@ -50,6 +50,8 @@
   std::vector<RemotePeer> peers() const override;
   void send(std::uint64_t aPeerId, const peer::Digest& aDigest) override;
   void send(std::uint64_t aPeerId, const peer::Delta& aDelta) override;
+  std::vector<std::uint64_t> send(const std::vector<std::uint64_t>& aPeerIds,
+                                  const peer::Delta& aDelta) override;
   void leave() override;
 
 private:
@@ -88,6 +90,7 @@
   void sendHello(const Route& aRoute);
   void sendTo(std::uint64_t aPeerId, const peer::Envelope& aEnvelope);
   bool sendFrame(const Route& aRoute, const peer::Envelope& aEnvelope);
+  bool sendBytes(const Route& aRoute, const std::string& aFrame, bool aCountsLoss);
 
   event::Loop& mLoop;
   LocalPeer mLocal;
@@ -205,13 +208,22 @@
 bool
 PeerNetworkImpl::sendFrame(const Route& aRoute, const peer::Envelope& aEnvelope)
 {
-  const std::string frame = aEnvelope.SerializeAsString();
-  const bool sent = frame.size() <= kMaxFrameBytes && aRoute.link->send(aRoute.id, frame);
-  if (sent || !aEnvelope.has_hello()) { // a `Hello` is repeated with each heartbeat
+  // A `Hello` is repeated with each heartbeat.
+  return sendBytes(aRoute, aEnvelope.SerializeAsString(), !aEnvelope.has_hello());
+}
+
+bool
+PeerNetworkImpl::sendBytes(const Route& aRoute,
+                           const std::string& aFrame,
+                           bool aCountsLoss)
+{
+  const bool sent =
+    aFrame.size() <= kMaxFrameBytes && aRoute.link->send(aRoute.id, aFrame);
+  if (sent || aCountsLoss) {
     mMetrics.add(sent ? kSentSeries : kUnsentSeries);
   }
   if (sent) {
-    mMetrics.add(kSentBytesSeries, frame.size());
+    mMetrics.add(kSentBytesSeries, aFrame.size());
   }
   return sent;
 }
@@ -240,6 +252,24 @@
   sendTo(aPeerId, message);
 }
 
+std::vector<std::uint64_t>
+PeerNetworkImpl::send(const std::vector<std::uint64_t>& aPeerIds,
+                      const peer::Delta& aDelta)
+{
+  peer::Envelope message = envelope();
+  *message.mutable_delta() = aDelta;
+  const std::string frame = message.SerializeAsString();
+  std::vector<std::uint64_t> missed;
+  for (const auto id : aPeerIds) {
+    const auto found = mPeers.find(id);
+    if (found == mPeers.end() || mLeaving ||
+        !sendBytes(found->second.route, frame, true)) {
+      missed.push_back(id);
+    }
+  }
+  return missed;
+}
+
 void
 PeerNetworkImpl::sendHello(const Route& aRoute)
 {
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -99,6 +99,11 @@
   virtual void send(std::uint64_t aPeerId, const peer::Digest& aDigest) = 0;
   virtual void send(std::uint64_t aPeerId, const peer::Delta& aDelta) = 0;
 
+  /// Sends one message to several peers, encoded once. Returns those for which it could
+  /// not be queued: they are not connected, or their queues are full.
+  virtual std::vector<std::uint64_t> send(const std::vector<std::uint64_t>& aPeerIds,
+                                          const peer::Delta& aDelta) = 0;
+
   /// Sends `Bye` to all peers; afterwards nothing is sent or reported.
   virtual void leave() = 0;
 };
