Bound what servers in trouble send; ask for permission before the first byte

Looked for at the gateway, from reports of operators of similar systems: - Interim responses, responses to other requests and their bodies were skipped without end, and a rejection with a body without end kept its caller until the deadline. Now 16 messages and 256 KiB are skipped, 64 KiB of a body that is not handed on. Endless status lines, headers, chunk sizes, extensions and trailers were bounded before; tests show it. - A planned stop closed connections whose request had arrived but was not read, and reset those that waited to be accepted. They are read and answered now. - An order could leave after the lease had run out, if its connection took long or the process was paused between the check and the socket. A request for a model that the configuration does not name is refused at once.

--- a/src/gateway/internal/call.cpp
+++ b/src/gateway/internal/call.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t kMostUnsentBytes = 128UL * 1024;
 // Responses up to this size are collected, so that one that breaks off can be replaced.
 constexpr std::size_t kMostCollectedBytes = 512UL * 1024;
+// Of the body of a response that is not handed on. A longer one is not waited for.
+constexpr std::size_t kMostDiscardedBytes = 64UL * 1024;
 // Sends of one request, including those that an upstream declined to run.
 constexpr std::uint32_t kMostSends = 4;
 // Connections tried for one request.
@@ -113,6 +115,13 @@
     refuseNow(RefusalReason::NoUpstream);
     return;
   }
+  const auto& engine = groupProfile()->engine;
+  if (engine && !mDetails.model.model.empty() &&
+      !engine->models.contains(mDetails.model.model)) {
+    // No engine will ever be ordered to load it under this configuration.
+    refuseNow(RefusalReason::NoUpstream);
+    return;
+  }
   if (!trySend()) {
     wait();
   }
@@ -237,6 +246,7 @@
                 mMarks.callId != mDetails.id ||
                 (mHeadPassed && !(success && isEventStream(aHead)));
   mStreaming = mRoute->kind == CallKind::Stream && success && isEventStream(aHead);
+  mDiscardedBytes = 0;
   if (mDiscarding || !mStreaming) {
     return;
   }
@@ -265,10 +275,16 @@
 void
 Call::responseData(std::string_view aData)
 {
+  const auto self = shared_from_this();
   if (mDiscarding) {
+    mDiscardedBytes += aData.size();
+    if (mDiscardedBytes > kMostDiscardedBytes) {
+      // The head has said all that counts.
+      mConnection->cancel();
+      responseFinished();
+    }
     return;
   }
-  const auto self = shared_from_this();
   if (mStreaming) {
     passEvents(aData);
     return;
--- a/src/gateway/internal/call.h
+++ b/src/gateway/internal/call.h
@@ -160,6 +160,7 @@
   std::string mCollected;
   bool mHeadPassed = false;
   bool mDiscarding = false;
+  std::size_t mDiscardedBytes = 0;
   bool mStreaming = false;
   EventStream mEvents;
   std::uint64_t mEventBytes = 0;
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -413,6 +413,10 @@
     aOrder, entry->endpoint, mSettings.host, mLeadership.fencing());
   call.timeout = kOrderTimeout;
   const auto fencing = mLeadership.fencing();
+  call.allowed = [this, fencing] {
+    return fencing == mLeadership.fencing() &&
+           mLeadership.mayOrder(mDependencies.loop.now());
+  };
   mDependencies.calls.start(
     std::move(call), [this, aOrder, fencing](Result<link::WholeResponse> aResponse) {
       auto outcome = serving::OrderOutcome::Unknown;
--- a/src/link/callset.h
+++ b/src/link/callset.h
@@ -27,6 +27,9 @@
   Duration timeout = 1s;
   std::size_t mostOpen = 4;                     // connections of the key
   std::size_t maxBodyBytes = 4UL * 1024 * 1024; // a larger response fails the call
+  /// Asked right before the first byte leaves; false fails the call with Unavailable.
+  /// Empty: always allowed.
+  std::function<bool()> allowed;
 };
 
 /// Runs calls over a pool. Errors: Unavailable (no byte was sent), OutcomeUnknown (it was
--- a/src/link/inbound.h
+++ b/src/link/inbound.h
@@ -98,6 +98,7 @@
   void flush();
   void watchSocket();
   void armTimer();
+  bool inputWaits() const;
   void linger();
   void requestDone();
   void close(bool aReset);
--- a/src/link/internal/callset.cpp
+++ b/src/link/internal/callset.cpp
@@ -36,7 +36,7 @@
       end(fail(sent ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
                "no response in time"));
     });
-    mConnection->send(std::move(mCall.request), false, *this);
+    mConnection->sendIf(std::move(mCall.allowed), std::move(mCall.request), *this);
   }
 
   void abandon()
--- a/src/link/internal/inbound.cpp
+++ b/src/link/internal/inbound.cpp
@@ -399,10 +399,19 @@
   }
 }
 
+/// A request that has arrived but was not read yet is answered, not cut off.
+bool
+Inbound::inputWaits() const
+{
+  char byte = 0;
+  return recv(mSocket.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void
 Inbound::closeIfIdle()
 {
-  if (!mBusy && !mParser.insideMessage() && mInput.empty() && unsentBytes() == 0) {
+  if (!mBusy && !mParser.insideMessage() && mInput.empty() && unsentBytes() == 0 &&
+      !inputWaits()) {
     close(false);
   }
 }
@@ -469,6 +478,10 @@
 void
 Listener::stop()
 {
+  if (mSocket) {
+    // Connections that wait to be accepted would be reset with the socket.
+    acceptAll();
+  }
   mWatch.reset();
   mSocket.close();
 }
--- a/src/link/internal/outbound.cpp
+++ b/src/link/internal/outbound.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 32UL * 1024;
+// Interim responses, and responses to other requests, before the one that is waited for.
+// A sound upstream sends one or two; one in trouble may send them without end.
+constexpr std::uint32_t kMostSkippedMessages = 16;
+constexpr std::size_t kMostSkippedBytes = 256UL * 1024;
 
 /// Seconds of a `Keep-Alive: timeout=N` line; zero if there is none.
 Duration
@@ -57,6 +61,8 @@
   mWithoutBody = aWithoutBody;
   mSkipping = false;
   mMessageDone = false;
+  mSkippedMessages = 0;
+  mSkippedBytes = 0;
   if (mConnected) {
     // From the loop, so that no handler call happens inside `send`.
     mWatchesWritable = true;
@@ -65,6 +71,15 @@
   watchSocket();
 }
 
+void
+Outbound::sendIf(std::function<bool()> aAllowed,
+                 std::string aRequest,
+                 IExchangeHandler& aHandler)
+{
+  mAllowed = std::move(aAllowed);
+  send(std::move(aRequest), false, aHandler);
+}
+
 void
 Outbound::cancel()
 {
@@ -111,11 +126,13 @@
   }
   if (mHead.status / 100 == 1) {
     mSkipping = true; // an interim response
+    ++mSkippedMessages;
     return true;
   }
   mSkipping = mHandler == nullptr || !mHandler->ownsResponse(mHead);
   if (mSkipping) {
     mReusable = false;
+    ++mSkippedMessages;
     return !mWithoutBody;
   }
   mReusable = mReusable && mParser.keepAlive() && mHead.framing != Framing::UntilClose;
@@ -127,7 +144,9 @@
 void
 Outbound::bodyParsed(std::string_view aData)
 {
-  if (!mSkipping && mHandler != nullptr) {
+  if (mSkipping) {
+    mSkippedBytes += aData.size();
+  } else if (mHandler != nullptr) {
     mHandler->responseData(aData);
   }
 }
@@ -169,6 +188,12 @@
 void
 Outbound::flush()
 {
+  if (mAllowed && mOutputSent == 0 && !mOutput.empty()) {
+    if (!std::exchange(mAllowed, nullptr)()) {
+      failExchange(ExchangeFault::NotConnected);
+      return;
+    }
+  }
   while (mOutputSent < mOutput.size()) {
     const ssize_t size = ::send(mSocket.fd(),
                                 mOutput.data() + mOutputSent,
@@ -231,7 +256,8 @@
     if (mClosed) {
       return; // cancelled by the handler
     }
-    if (mParser.failed() || mParser.headTooLarge()) {
+    if (mParser.failed() || mParser.headTooLarge() ||
+        mSkippedMessages > kMostSkippedMessages || mSkippedBytes > kMostSkippedBytes) {
       failExchange(ExchangeFault::Malformed);
       return;
     }
--- a/src/link/outbound.h
+++ b/src/link/outbound.h
@@ -55,6 +55,13 @@
   /// whatever its headers announce. Precondition: `idle()`.
   void send(std::string aRequest, bool aWithoutBody, IExchangeHandler& aHandler);
 
+  /// As above, for a request that needs a permission. It is asked for right before the
+  /// first byte leaves, since the process may have been paused or the connection may have
+  /// taken long; without it the exchange fails with NotConnected. Empty: it needs none.
+  void sendIf(std::function<bool()> aAllowed,
+              std::string aRequest,
+              IExchangeHandler& aHandler);
+
   /// Ends the exchange and closes the connection with a reset; no handler call follows.
   void cancel();
 
@@ -100,6 +107,9 @@
   bool mWithoutBody = false;
   bool mSkipping = false;
   bool mMessageDone = false;
+  std::uint32_t mSkippedMessages = 0; // during this exchange
+  std::size_t mSkippedBytes = 0;      // of their bodies
+  std::function<bool()> mAllowed;     // asked before the first byte of the request
   bool mConnected = false;
   bool mReusable = true;
   bool mClosed = false;
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <thread>
+
 #include "link/callset.h"
 #include "link/inbound.h"
 #include "link/outbound.h"
@@ -259,6 +261,7 @@
   std::unique_ptr<ScriptedPeer> peer;
   RecordingExchange exchange;
   std::shared_ptr<link::Outbound> connection;
+  event::Watch mRest;
 
   void setup() override
   {
@@ -480,3 +483,201 @@
   CHECK_TRUE(until([&] { return code.has_value(); }));
   CHECK_TRUE(*code == ErrorCode::OutcomeUnknown);
 }
+
+/// A server in trouble: after `start` it goes on sending `more` until the caller closes.
+TEST_GROUP(OutboundFlood)
+{
+  static constexpr std::size_t kMostSentBytes = 4UL * 1024 * 1024;
+
+  std::unique_ptr<event::Loop> loop;
+  std::unique_ptr<link::OutboundPool> pool;
+  std::unique_ptr<ScriptedPeer> peer;
+  RecordingExchange exchange;
+  RawConnection* flooded = nullptr;
+  std::size_t sent = 0;
+
+  void setup() override
+  {
+    loop = std::move(event::Loop::create().value());
+    pool = std::make_unique<link::OutboundPool>(*loop, link::OutboundPool::Options{});
+  }
+
+  void teardown() override
+  {
+    pool.reset();
+    peer.reset();
+    loop.reset();
+  }
+
+  /// True if the caller has closed the connection before much was sent.
+  bool closedAfter(const std::string& aStart, const std::string& aMore)
+  {
+    peer = std::make_unique<ScriptedPeer>(
+      *loop, [&, aStart](RawConnection& aConnection, const std::string&) {
+        flooded = &aConnection;
+        aConnection.send(aStart);
+      });
+    const auto connection = pool->take("u", { "127.0.0.1", peer->port() }, 4).connection;
+    connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, exchange);
+    const auto flood = loop->every(1ms, [&] {
+      if (flooded != nullptr && !flooded->ended()) {
+        flooded->send(aMore);
+        sent += aMore.size();
+      }
+    });
+    const Instant end = loop->now() + kTestLimit;
+    while (!exchange.done() && sent < kMostSentBytes && loop->now() < end) {
+      loop->runOnce(true);
+    }
+    const bool closed = exchange.done() && connection->closed();
+    pool->giveBack("u", connection);
+    return closed;
+  }
+
+  bool malformed() const
+  {
+    return exchange.fault == link::ExchangeFault::Malformed;
+  }
+};
+
+// Each of these guards against a server that fills the memory of its callers, or keeps
+// them for as long as it likes.
+TEST(OutboundFlood, StatusLineWithoutEnd_Closed)
+{
+  CHECK_TRUE(closedAfter("HTTP/1.1 200 ", std::string(4096, 'a')));
+  CHECK_TRUE(malformed());
+}
+
+TEST(OutboundFlood, HeaderLineWithoutEnd_Closed)
+{
+  CHECK_TRUE(closedAfter("HTTP/1.1 200 OK\r\nX-A: ", std::string(4096, 'a')));
+  CHECK_TRUE(malformed());
+}
+
+TEST(OutboundFlood, HeadersWithoutEnd_Closed)
+{
+  CHECK_TRUE(closedAfter("HTTP/1.1 200 OK\r\n", "X-A: b\r\nX-B: c\r\nX-C: d\r\n"));
+  CHECK_TRUE(malformed());
+}
+
+TEST(OutboundFlood, InterimResponsesWithoutEnd_Closed)
+{
+  CHECK_TRUE(closedAfter("", "HTTP/1.1 102 Processing\r\n\r\n"));
+  CHECK_TRUE(malformed());
+  CHECK_TRUE(sent < 100'000);
+}
+
+TEST(OutboundFlood, AnswersToOthersWithoutEnd_Closed)
+{
+  CHECK_TRUE(closedAfter("", rawResponse(200, "X-Id: other\r\n", "theirs")));
+  CHECK_TRUE(malformed());
+}
+
+TEST(OutboundFlood, BodyOfAnotherAnswerWithoutEnd_Closed)
+{
+  CHECK_TRUE(
+    closedAfter("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 99999999\r\n\r\n",
+                std::string(8192, 'a')));
+  CHECK_TRUE(malformed());
+}
+
+TEST(OutboundFlood, ChunkExtensionWithoutEnd_Closed)
+{
+  CHECK_TRUE(closedAfter("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+                         std::string(4096, 'a')));
+  CHECK_TRUE(malformed());
+}
+
+TEST(OutboundFlood, ChunkSizeWithoutEnd_Closed)
+{
+  CHECK_TRUE(closedAfter("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                         std::string(512, '0')));
+  CHECK_TRUE(malformed());
+}
+
+TEST(OutboundFlood, TrailersWithoutEnd_Closed)
+{
+  CHECK_TRUE(
+    closedAfter("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
+                "X-A: b\r\nX-B: c\r\nX-C: d\r\n"));
+  CHECK_TRUE(malformed());
+}
+
+TEST(OutboundFlood, BytesBehindWholeAnswer_ConnectionIsNotUsedAgain)
+{
+  CHECK_TRUE(closedAfter(rawResponse(200, "", "body"), std::string(4096, 'a')) ||
+             exchange.finished);
+  CHECK_TRUE(exchange.finished);
+  STRCMP_EQUAL("body", exchange.body.c_str());
+  const auto wake = loop->every(5ms, [] {});
+  const Instant end = loop->now() + kTestLimit;
+  while (!flooded->ended() && loop->now() < end) {
+    loop->runOnce(true);
+    flooded->send("a");
+  }
+  CHECK_TRUE(flooded->ended());
+}
+
+// Guards against the answer to an earlier request that reaches the next caller, wherever
+// the late second copy is cut into pieces.
+TEST(Outbound, SecondCopyArrivesDuringNextRequest_NeverHandedOn)
+{
+  const std::string copy = rawResponse(200, "X-Id: other\r\n", "theirs");
+  const std::string own = rawResponse(200, "X-Id: own\r\n", "mine");
+  for (std::size_t split = 0; split < copy.size(); ++split) {
+    const auto answer = [&](RawConnection& aConnection, const std::string&) {
+      if (peer->requests().size() == 1) {
+        aConnection.send(rawResponse(200, "", "first"));
+        return;
+      }
+      aConnection.send(copy.substr(0, split));
+      mRest = loop->after(
+        2ms, [&, target = &aConnection] { target->send(copy.substr(split) + own); });
+    };
+    peer = std::make_unique<ScriptedPeer>(*loop, answer);
+    CHECK_TRUE(call());
+    STRCMP_EQUAL("first", exchange.body.c_str());
+    CHECK_TRUE(call());
+    STRCMP_EQUAL("mine", exchange.body.c_str());
+    pool->drop("u");
+  }
+}
+
+// Guards against an order that leaves after its permission has run out, since its
+// connection took long or the process was paused.
+TEST(Outbound, PermissionEndsBeforeFirstByte_NothingIsSent)
+{
+  answerWith(rawResponse(200, "", "body"));
+  for (const bool kept : { false, true }) {
+    if (kept) {
+      CHECK_TRUE(call());
+    }
+    const auto before = peer->requests().size();
+    exchange = {};
+    connection = pool->take("u", { "127.0.0.1", peer->port() }, 4).connection;
+    bool allowed = true;
+    connection->sendIf(
+      [&] { return allowed; }, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", exchange);
+    allowed = false;
+    CHECK_TRUE(until([&] { return exchange.done(); }));
+    CHECK_TRUE(exchange.fault == link::ExchangeFault::NotConnected);
+    LONGS_EQUAL(before, peer->requests().size());
+    pool->giveBack("u", connection);
+  }
+}
+
+// Guards against requests cut off by a planned stop: they were accepted by the kernel, or
+// had arrived on an open connection, and were not read yet.
+TEST(Inbound, StopWhileRequestsArrive_AllAreAnswered)
+{
+  handler.closing = true;
+  auto second = RawConnection::connect(*loop, port);
+  CHECK_TRUE(until([&] { return true; }));
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  second->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  listener->stop();
+  listener->closeIdle();
+  CHECK_TRUE(receives("/1 "));
+  CHECK_TRUE(until([&] { return second->received().find("/2 ") != std::string::npos; }));
+}
