--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -195,14 +195,13 @@
   config.wait = kConfigWait;
   config.pause = kConfigPause;
   const auto config_read = [this](const RowSet& aRows) { configRead(aRows); };
-  mConfigFollower =
-    std::make_unique<TableFollower>(mDependencies.loop,
-                                    mDependencies.store,
-                                    mDependencies.log,
-                                    mDependencies.metrics,
-                                    config,
-                                    TableFollower::Handlers{
-                                      config_read, config_read, {} });
+  mConfigFollower = std::make_unique<TableFollower>(
+    mDependencies.loop,
+    mDependencies.store,
+    mDependencies.log,
+    mDependencies.metrics,
+    config,
+    TableFollower::Handlers{ config_read, config_read, {} });
   TableFollower::Options upstreams;
   upstreams.table = mDependencies.records.upstreamTable();
   upstreams.pause = ownUpstreamsPause();
@@ -212,10 +211,9 @@
     mDependencies.log,
     mDependencies.metrics,
     upstreams,
-    TableFollower::Handlers{
-      [this](const RowSet& aRows) { upstreamsRead(aRows, true); },
-      [this](const RowSet& aRows) { upstreamsRead(aRows, false); },
-      [this] { upstreamsReadStarted(); } });
+    TableFollower::Handlers{ [this](const RowSet& aRows) { upstreamsRead(aRows, true); },
+                             [this](const RowSet& aRows) { upstreamsRead(aRows, false); },
+                             [this] { upstreamsReadStarted(); } });
   // A waiting read that hangs since an outage would hide changes for its whole wait.
   mUpstreamFollower->onRegained([this] { mConfigFollower->readNow(); });
   mConfigFollower->start();
@@ -282,8 +280,8 @@
 GatewayImpl::leadershipChanged(bool aLeads)
 {
   mLeading = aLeads;
-  mUpstreamFollower->setPause(aLeads ? std::min(kUpstreamsPauseLeading, ownUpstreamsPause())
-                                     : ownUpstreamsPause());
+  mUpstreamFollower->setPause(
+    aLeads ? std::min(kUpstreamsPauseLeading, ownUpstreamsPause()) : ownUpstreamsPause());
   if (aLeads) {
     // Others may have told what is known, without what engines hold.
     mUpstreamFollower->readNow();
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -162,7 +162,7 @@
   bool mDemandPosted = false;
   bool mLeaseCallFailed = false; // since the last success
   std::uint64_t mSequence = 0;
-  std::uint64_t mStamp = 0; // of the last demand that was sent
+  std::uint64_t mStamp = 0;                    // of the last demand that was sent
   std::map<std::uint64_t, Instant> mStampSent; // of recent ones
   std::uint32_t mHosts = 0;
   std::optional<Instant> mDemandSent;
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -58,31 +58,29 @@
 void
 TableFollower::readChanges()
 {
-  mStore.readChanges(mOptions.table,
-                     *mVersion,
-                     mOptions.wait,
-                     [this, call = mCall](Result<RowSet> aRows) {
-                       if (call != mCall) {
-                         return;
-                       }
-                       mReading = false;
-                       if (!aRows) {
-                         if (aRows.error().code == ErrorCode::NotFound) {
-                           // The history is gone, so changes may have been missed.
-                           mNeedsWhole = true;
-                           readLater(Duration::zero());
-                           return;
-                         }
-                         noteFailure(aRows.error());
-                         readLater(mOptions.failurePause);
-                         return;
-                       }
-                       noteSuccess();
-                       mVersion = std::max(*mVersion, aRows.value().version);
-                       mKnownAt = mStarted;
-                       mHandlers.changes(aRows.value());
-                       readWhenOld();
-                     });
+  mStore.readChanges(
+    mOptions.table, *mVersion, mOptions.wait, [this, call = mCall](Result<RowSet> aRows) {
+      if (call != mCall) {
+        return;
+      }
+      mReading = false;
+      if (!aRows) {
+        if (aRows.error().code == ErrorCode::NotFound) {
+          // The history is gone, so changes may have been missed.
+          mNeedsWhole = true;
+          readLater(Duration::zero());
+          return;
+        }
+        noteFailure(aRows.error());
+        readLater(mOptions.failurePause);
+        return;
+      }
+      noteSuccess();
+      mVersion = std::max(*mVersion, aRows.value().version);
+      mKnownAt = mStarted;
+      mHandlers.changes(aRows.value());
+      readWhenOld();
+    });
 }
 
 void
--- a/src/gateway/internal/storefollower.h
+++ b/src/gateway/internal/storefollower.h
@@ -27,7 +27,7 @@
     Duration wait = Duration::zero(); // how long a read of changes may wait for one
     /// Age of what is known at which it is read again; the pause after a read that waits.
     Duration pause = 1s;
-    Duration failurePause = 300ms;    // after a read that failed
+    Duration failurePause = 300ms; // after a read that failed
   };
   struct Handlers
   {
@@ -85,9 +85,9 @@
   std::optional<std::uint64_t> mVersion;
   bool mNeedsWhole = true;
   bool mReading = false;
-  Instant mStarted{};        // of the latest read
+  Instant mStarted{};              // of the latest read
   std::optional<Instant> mKnownAt; // the table is known as of this moment or later
-  std::uint64_t mCall = 0; // results of earlier calls are ignored
+  std::uint64_t mCall = 0;         // results of earlier calls are ignored
   std::function<void()> mRegained;
   std::optional<Instant> mLostSince;
   event::Watch mTimer;
--- a/src/gateway/internal/upstreamboard.cpp
+++ b/src/gateway/internal/upstreamboard.cpp
@@ -177,8 +177,7 @@
     }
   };
   // The leader tells of every engine that is listed, but of new ones a moment later.
-  const bool indexed =
-    !aModel.model.empty() && leaderIsFresh(aNow) && !mReplicas.empty();
+  const bool indexed = !aModel.model.empty() && leaderIsFresh(aNow) && !mReplicas.empty();
   if (!indexed) {
     for (const auto& [id, entry] : mDirectory.entries()) {
       consider(entry);
--- a/src/serving/types/upstreamentry.h
+++ b/src/serving/types/upstreamentry.h
@@ -56,7 +56,7 @@
   std::uint32_t concurrency = 1;
   bool leaving = false;
   Duration leavesIn =
-    Duration::zero();          // known only for upstreams reclaimed at short notice
+    Duration::zero();           // known only for upstreams reclaimed at short notice
   std::uint64_t heartbeat = 0;  // grows with each entry of this incarnation
   std::uint64_t rowVersion = 0; // of the row that was read
   EngineReport engine;          // of engines, without the count of orders
