Serve by the last views and refuse at once while the store is away

Cause: while the store is away nobody leads, and hosts fell back to the list of upstreams. Hosts also asked the store several times a second, each of them. Change: the last leader's views count until this host has read the list again; expected times are forgotten with the leader; after 4 s without a leader a request for a model that is nowhere is refused at once with Retry-After 2 s; pauses between failed reads double up to 1.2 s. The budget for repeats keeps what was taken when the number of hosts changes; it was full again with each host that came.

--- a/src/gateway/internal/call.cpp
+++ b/src/gateway/internal/call.cpp
@@ -207,6 +207,11 @@
     refuseNow(RefusalReason::ModelNotInTime);
     return;
   }
+  if (!ready_in && engine && mContext.board.leaderIsAway(now)) {
+    // Load pattern: the store is away, so nothing is loaded, and callers wait in vain.
+    refuseNow(RefusalReason::NoLeader);
+    return;
+  }
   if (!ready_in &&
       rest < std::min(mDue - mArrived, mRoute->callerTimeout) / kUnknownWaitDivisor) {
     refuseNow(RefusalReason::ModelNotInTime);
--- a/src/gateway/internal/callboard.cpp
+++ b/src/gateway/internal/callboard.cpp
@@ -31,7 +31,7 @@
 CallBoard::setOptions(Options aOptions)
 {
   mOptions = aOptions;
-  mBudgets.clear();
+  limitBudgets();
 }
 
 void
@@ -49,7 +49,7 @@
 {
   if (aHosts > 0 && aHosts != mHosts) {
     mHosts = aHosts;
-    mBudgets.clear();
+    limitBudgets();
   }
 }
 
@@ -256,12 +256,23 @@
   if (found != mBudgets.end()) {
     return found->second;
   }
+  return mBudgets.emplace(aGroup, budgetLimits()).first->second;
+}
+
+routing::RetryBudget::Limits
+CallBoard::budgetLimits() const
+{
   const double capacity = mOptions.retryReserve * kRetryMargin / mHosts;
-  return mBudgets
-    .emplace(aGroup,
-             routing::RetryBudget::Limits{ mOptions.retryShare * kRetryMargin,
-                                           std::max(1.0, capacity) })
-    .first->second;
+  return { mOptions.retryShare * kRetryMargin, std::max(1.0, capacity) };
+}
+
+/// What was taken before a change stays taken: hosts come and go all the time.
+void
+CallBoard::limitBudgets()
+{
+  for (auto& [group, budget] : mBudgets) {
+    budget.setLimits(budgetLimits());
+  }
 }
 
 bool
--- a/src/gateway/internal/callboard.h
+++ b/src/gateway/internal/callboard.h
@@ -74,6 +74,8 @@
                     const std::string& aTarget,
                     serving::RefusalReason aReason);
   routing::RetryBudget& budgetOf(const std::string& aGroup);
+  routing::RetryBudget::Limits budgetLimits() const;
+  void limitBudgets();
 
   CallContext mContext;
   Options mOptions;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -334,6 +334,7 @@
     mListChanges.keepOnly(ids, aRows.version);
   }
   mListChanges.readUpTo(aRows.version);
+  mBoard.enginesRead(now);
   directory.readSucceeded(now);
   mUpstreamsKnown = true;
   listChanged(changes);
--- a/src/gateway/internal/refusal.cpp
+++ b/src/gateway/internal/refusal.cpp
@@ -14,6 +14,9 @@
 // Advice where the time until the request can run is not known.
 constexpr Duration kUsualRetryAfter = 500ms;
 constexpr Duration kLeastRetryAfter = 50ms;
+// Without a leader: outages of the store last seconds, and callers come back once or
+// twice, as late as a third of their time.
+constexpr Duration kLeaderRetryAfter = 2s;
 
 } // namespace
 
@@ -42,7 +45,9 @@
       break;
   }
   if (!aMayHaveRun) {
-    refusal.retryAfter = std::max(kLeastRetryAfter, aReadyIn.value_or(kUsualRetryAfter));
+    const Duration unknown =
+      aReason == RefusalReason::NoLeader ? kLeaderRetryAfter : kUsualRetryAfter;
+    refusal.retryAfter = std::max(kLeastRetryAfter, aReadyIn.value_or(unknown));
   }
   return refusal;
 }
--- a/src/gateway/internal/storefollower.cpp
+++ b/src/gateway/internal/storefollower.cpp
@@ -38,7 +38,7 @@
     mReading = false;
     if (!aRows) {
       noteFailure(aRows.error());
-      readLater(mOptions.failurePause);
+      readAfterFailure();
       return;
     }
     noteSuccess();
@@ -72,7 +72,7 @@
           return;
         }
         noteFailure(aRows.error());
-        readLater(mOptions.failurePause);
+        readAfterFailure();
         return;
       }
       noteSuccess();
@@ -148,9 +148,21 @@
   }
 }
 
+/// Load pattern: the store is away, and a hundred hosts ask for it several times a
+/// second.
+void
+TableFollower::readAfterFailure()
+{
+  mFailurePause = mFailurePause == Duration::zero()
+                    ? mOptions.failurePause
+                    : std::min(2 * mFailurePause, mOptions.longestFailurePause);
+  readLater(mFailurePause);
+}
+
 void
 TableFollower::noteSuccess()
 {
+  mFailurePause = Duration::zero();
   if (mLostSince) {
     mLog.write(
       kStoreRegained,
--- a/src/gateway/internal/storefollower.h
+++ b/src/gateway/internal/storefollower.h
@@ -27,7 +27,9 @@
     Duration wait = Duration::zero(); // how long a read of changes may wait for one
     /// Age of what is known at which it is read again; the pause after a read that waits.
     Duration pause = 1s;
-    Duration failurePause = 300ms; // after a read that failed
+    /// After a read that failed; doubles with each further failure, up to the longest.
+    Duration failurePause = 300ms;
+    Duration longestFailurePause = 1200ms;
   };
   struct Handlers
   {
@@ -75,6 +77,7 @@
   void read();
   void noteSuccess();
   void noteFailure(const Error& aError);
+  void readAfterFailure();
 
   event::Loop& mLoop;
   IRowStore& mStore;
@@ -90,6 +93,7 @@
   std::uint64_t mCall = 0;         // results of earlier calls are ignored
   std::function<void()> mRegained;
   std::optional<Instant> mLostSince;
+  Duration mFailurePause = Duration::zero(); // of the next failure; zero: the first one
   event::Watch mTimer;
 };
 
--- a/src/gateway/internal/upstreamboard.cpp
+++ b/src/gateway/internal/upstreamboard.cpp
@@ -9,6 +9,8 @@
 // Age up to which the leader's view of engines goes before the platform's list, which is
 // older by up to two heartbeats.
 constexpr Duration kLeaderLife = 2500ms;
+// A change of leaders takes about 3 s until the new one tells its views.
+constexpr Duration kLeaderAway = 4s;
 // Time for which an upstream that declined a request is not asked for the same again.
 constexpr Duration kDeclinedPause = 150ms;
 // Weight of the latest result in the moving share of failures.
@@ -137,7 +139,7 @@
     return true;
   }
   const auto replicas = mReplicas.find(aEntry.id);
-  if (replicas != mReplicas.end() && leaderIsFresh(aNow)) {
+  if (replicas != mReplicas.end() && viewsCount(aNow)) {
     return std::ranges::any_of(replicas->second, [&](const auto& aReplica) {
       return aReplica.model == aModel.model &&
              aReplica.phase == serving::ReplicaPhase::Ready &&
@@ -158,6 +160,19 @@
   return mLeaderHeard && aNow - *mLeaderHeard < kLeaderLife;
 }
 
+bool
+UpstreamBoard::leaderIsAway(Instant aNow) const
+{
+  return mLeaderHeard && aNow - *mLeaderHeard > kLeaderAway;
+}
+
+bool
+UpstreamBoard::viewsCount(Instant aNow) const
+{
+  return leaderIsFresh(aNow) ||
+         (mLeaderHeard && (!mEnginesRead || *mEnginesRead <= *mLeaderHeard));
+}
+
 std::uint32_t
 UpstreamBoard::othersLoad(const std::string& aUpstream, Instant aNow) const
 {
@@ -177,7 +192,7 @@
     }
   };
   // The leader tells of every engine that is listed, but of new ones a moment later.
-  const bool indexed = !aModel.model.empty() && leaderIsFresh(aNow) && !mReplicas.empty();
+  const bool indexed = !aModel.model.empty() && viewsCount(aNow) && !mReplicas.empty();
   if (!indexed) {
     for (const auto& [id, entry] : mDirectory.entries()) {
       consider(entry);
@@ -267,8 +282,8 @@
     return Duration::zero();
   }
   const auto found = mReadyAt.find(aQuery.model.model);
-  if (found == mReadyAt.end()) {
-    return std::nullopt;
+  if (found == mReadyAt.end() || !leaderIsFresh(aNow)) {
+    return std::nullopt; // nobody may be loading it any more
   }
   return std::max(Duration::zero(), found->second - aNow);
 }
--- a/src/gateway/tests/codectest.cpp
+++ b/src/gateway/tests/codectest.cpp
@@ -128,6 +128,7 @@
     CHECK_FALSE(refusal.retryAfter.has_value());
   }
   CHECK_TRUE(*refusalFor(RefusalReason::ModelNotInTime, false, 3s).retryAfter == 3s);
+  CHECK_TRUE(*refusalFor(RefusalReason::NoLeader, false, std::nullopt).retryAfter == 2s);
 }
 
 TEST_GROUP(UpstreamBoard)
@@ -208,10 +209,59 @@
   board.leaderHeard(now);
   board.setReplicas("u1", { { "m", serving::ReplicaPhase::Unloading, 0ms, {} } });
   CHECK_FALSE(choose("m").has_value());
-  now += 10s; // without the leader the platform's list counts
+  now += 10s; // without the leader the platform's list counts, if it is newer
+  CHECK_FALSE(choose("m").has_value());
+  board.enginesRead(now);
   CHECK_TRUE(choose("m").has_value());
 }
 
+// Guards against requests for models that engines have unloaded long since: hosts that
+// are told what changes read the list seldom, and not at all while the store is away.
+TEST(UpstreamBoard, StoreIsAwayAndLeaderGone_LastViewsCountAndNotTheOlderList)
+{
+  add("u1", "m");
+  board.enginesRead(now);
+  now += 30s;
+  board.leaderHeard(now);
+  board.setReplicas("u1", { { "n", serving::ReplicaPhase::Ready, 0ms, {} } });
+  now += 5s;
+  CHECK_FALSE(choose("m").has_value());
+  CHECK_TRUE(choose("n").has_value());
+}
+
+// Guards against callers who wait in vain while nobody orders loads.
+TEST(UpstreamBoard, LeaderIsSilentForLong_ExpectedTimesAreForgotten)
+{
+  const serving::ModelKey model{ "m", "" };
+  board.leaderHeard(now);
+  board.setWaits({ { "m", 2s } }, now);
+  CHECK_TRUE(board.readyIn({ &group, model, "", {} }, now) == 2s);
+  CHECK_FALSE(board.leaderIsAway(now));
+  now += 3s;
+  CHECK_FALSE(board.readyIn({ &group, model, "", {} }, now).has_value());
+  CHECK_FALSE(board.leaderIsAway(now)); // as long as another may follow
+  now += 2s;
+  CHECK_TRUE(board.leaderIsAway(now));
+}
+
+// Guards against costs that grow with the upstreams: copies are found by their model.
+TEST(UpstreamBoard, ViewsChange_CopiesAreFoundByModel)
+{
+  add("u1");
+  add("u2");
+  board.enginesRead(now);
+  board.leaderHeard(now);
+  board.setReplicas("u1", { { "m", serving::ReplicaPhase::Ready, 0ms, {} } });
+  board.setReplicas("u2", { { "n", serving::ReplicaPhase::Ready, 0ms, {} } });
+  STRCMP_EQUAL("u1", choose("m")->c_str());
+  STRCMP_EQUAL("u2", choose("n")->c_str());
+  board.setReplicas("u1", { { "n", serving::ReplicaPhase::Ready, 0ms, {} } });
+  CHECK_FALSE(choose("m").has_value());
+  board.directory().remove("u2", now, changes);
+  board.forget("u2");
+  STRCMP_EQUAL("u1", choose("n")->c_str());
+}
+
 TEST(UpstreamBoard, UpstreamFailsRepeatedly_OthersAreChosen)
 {
   add("u1");
--- a/src/gateway/upstreamboard.h
+++ b/src/gateway/upstreamboard.h
@@ -34,6 +34,11 @@
   void setReplicas(const std::string& aUpstream,
                    std::vector<serving::ReplicaView> aReplicas);
   void leaderHeard(Instant aNow) { mLeaderHeard = aNow; }
+  /// True if the leader has been silent for longer than a change of leaders takes, as
+  /// when the store is away: nobody orders loads then, and nobody knows for how long.
+  bool leaderIsAway(Instant aNow) const;
+  /// This host has read the list itself, with what engines hold.
+  void enginesRead(Instant aNow) { mEnginesRead = aNow; }
   /// Drops the views of a leader that another one has followed.
   void forgetReplicas();
   /// Expected times until models are ready, from the leader.
@@ -95,6 +100,10 @@
              const serving::ModelKey& aModel,
              Instant aNow) const;
   bool leaderIsFresh(Instant aNow) const;
+  /// True if the leader's views count, and not the list: they are fresh, or the list has
+  /// not been read since. Load pattern: the store is away, so there is no leader and no
+  /// newer list, and engines go on with what they were last ordered to hold.
+  bool viewsCount(Instant aNow) const;
   std::uint32_t othersLoad(const std::string& aUpstream, Instant aNow) const;
   /// Upstreams of the group that hold the model, without leaving ones. Costs grow with
   /// the copies of a model, not with the upstreams, while the leader is fresh.
@@ -118,6 +127,7 @@
   std::map<std::string, std::uint32_t> mOtherLoads; // of other hosts, by upstream
   std::map<std::string, std::string> mPrefixUpstream;
   std::optional<Instant> mLeaderHeard;
+  std::optional<Instant> mEnginesRead;
   routing::ChoicePolicy mPolicy;
 };
 
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -29,6 +29,13 @@
   {
   }
 
+  /// Changes the limits; what is left stays, up to the new capacity.
+  void setLimits(Limits aLimits)
+  {
+    mLimits = aLimits;
+    mTokens = std::min(mTokens, aLimits.capacity);
+  }
+
   /// Notes a new request.
   void requestArrived() { mTokens = std::min(mLimits.capacity, mTokens + mLimits.share); }
 
--- a/src/routing/tests/policytest.cpp
+++ b/src/routing/tests/policytest.cpp
@@ -99,6 +99,22 @@
 }
 
 // Guards against retries that multiply an overload.
+// Guards against a budget that is full again with each host that comes or goes.
+TEST(RoutingPolicy, retryBudgetLimitsChange_takenRetriesStayTaken)
+{
+  RetryBudget budget({ .share = 0.25, .capacity = 2 });
+  CHECK_TRUE(budget.takeRetry());
+  CHECK_TRUE(budget.takeRetry());
+  budget.setLimits({ .share = 0.25, .capacity = 5 });
+  CHECK_FALSE(budget.takeRetry());
+  for (int at = 0; at < 16; ++at) {
+    budget.requestArrived();
+  }
+  budget.setLimits({ .share = 0.25, .capacity = 1 });
+  CHECK_TRUE(budget.takeRetry());
+  CHECK_FALSE(budget.takeRetry());
+}
+
 TEST(RoutingPolicy, retryBudget_limitsRetriesToShare)
 {
   RetryBudget budget({ .share = 0.25, .capacity = 2 });
--- a/src/serving/types/call.h
+++ b/src/serving/types/call.h
@@ -31,6 +31,7 @@
   BadRequest,
   NoUpstream,     // no upstream of the group can take it in time
   ModelNotInTime, // its model cannot be loaded before the deadline
+  NoLeader,       // its model is not loaded, and nobody orders loads at the moment
   QueueFull,
   Overloaded,     // the backlog of its model takes longer than its objective
   DeadlinePassed, // it waited until the deadline or the route's timeout
@@ -46,12 +47,13 @@
 template<>
 struct EnumNames<serving::RefusalReason>
 {
-  static constexpr EnumTable<serving::RefusalReason, 11> kTable{ {
+  static constexpr EnumTable<serving::RefusalReason, 12> kTable{ {
     { serving::RefusalReason::NoConfiguration, "no-configuration" },
     { serving::RefusalReason::NoRoute, "no-route" },
     { serving::RefusalReason::BadRequest, "bad-request" },
     { serving::RefusalReason::NoUpstream, "no-upstream" },
     { serving::RefusalReason::ModelNotInTime, "model-not-in-time" },
+    { serving::RefusalReason::NoLeader, "no-leader" },
     { serving::RefusalReason::QueueFull, "queue-full" },
     { serving::RefusalReason::Overloaded, "overloaded" },
     { serving::RefusalReason::DeadlinePassed, "deadline-passed" },
