Let the leader's host take its lease again at once after a restart

Ruled out: a shorter lease or turn time, which other troubles need. Change: a process at the holder's host and address that is not the holder is its successor, so the holder has ended: it takes the row at once, and needs no distance to orders of its own host. Tests: HolderIsStartedAgain_LeadsAndOrdersAtOnce (fails without the change), HostOfSameNameAtOtherAddress_WaitsForLease.

--- a/src/serving/internal/leadership.cpp
+++ b/src/serving/internal/leadership.cpp
@@ -54,6 +54,11 @@
   if (mReleasedVersion == mRow->version) {
     return aNow - mHeardVersionSince >= mOptions.takeDelay;
   }
+  // Load pattern: all hosts lost power together. A process at the address of the holder
+  // that is not the holder is its successor, so the holder has ended.
+  if (mRow->host == mOptions.host && mRow->endpoint == mOptions.endpoint && !ownRow()) {
+    return true;
+  }
   return aNow - mUnchangedSince >= mOptions.lease + mOptions.margin + mOptions.takeDelay;
 }
 
--- a/src/serving/tests/leadershiptest.cpp
+++ b/src/serving/tests/leadershiptest.cpp
@@ -238,6 +238,29 @@
   CHECK_TRUE(a.mayOrder(now));
 }
 
+// Guards against seconds without orders after all hosts lost power together.
+TEST(Leadership, HolderIsStartedAgain_LeadsAndOrdersAtOnce)
+{
+  Leadership before(optionsOf("a"));
+  untilItLeads(before, "t1");
+  Leadership after(optionsOf("a"));
+  CHECK_TRUE(untilItLeads(after, "t2") <= 100ms);
+  CHECK_TRUE(after.mayOrder(now));
+  CHECK_TRUE(after.fencing() > before.fencing());
+}
+
+// Guards against two holders: the name alone does not tell that the holder has ended, if
+// a replaced host comes back at another address.
+TEST(Leadership, HostOfSameNameAtOtherAddress_WaitsForLease)
+{
+  Leadership before(optionsOf("a"));
+  untilItLeads(before, "t1");
+  auto moved = optionsOf("a");
+  moved.endpoint = "b:1";
+  Leadership after(moved);
+  CHECK_TRUE(untilItLeads(after, "t2") >= kLease);
+}
+
 TEST(Leadership, LeaderIsHeard_RowIsNotReadAgain)
 {
   Leadership a(optionsOf("a"));
