--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -5,6 +5,7 @@
 #include "link/callset.h"
 #include "link/inbound.h"
 #include "link/outbound.h"
+#include "testing/loopwait.h"
 #include "testing/scriptedpeer.h"
 
 using namespace savoryrill;
@@ -100,12 +101,7 @@
   template<typename T>
   bool until(T aCondition)
   {
-    const Instant end = loop->now() + kTestLimit;
-    const auto wake = loop->every(5ms, [] {});
-    while (!aCondition() && loop->now() < end) {
-      loop->runOnce(true);
-    }
-    return aCondition();
+    return testing::runUntil(*loop, kTestLimit, aCondition);
   }
 
   bool receives(const std::string& aText)
@@ -280,12 +276,7 @@
   template<typename T>
   bool until(T aCondition)
   {
-    const Instant end = loop->now() + kTestLimit;
-    const auto wake = loop->every(5ms, [] {});
-    while (!aCondition() && loop->now() < end) {
-      loop->runOnce(true);
-    }
-    return aCondition();
+    return testing::runUntil(*loop, kTestLimit, aCondition);
   }
 
   void answerWith(std::string aBytes, bool aClose = false)
