--- a/src/cli/internal/commandline.cpp
+++ b/src/cli/internal/commandline.cpp
@@ -254,6 +254,10 @@
                  command.logs.push_back(aFile);
                  return "";
                });
+  parser.flag("summary",
+              "Summarise all requests in logs by route: where their time went, and why "
+              "some were not answered",
+              command.summary);
   addJson(parser, command.json);
   if (auto result = parsed(parser, aWords)) {
     return *result;
@@ -265,8 +269,13 @@
   if (command.logs.empty() && !missing.empty()) {
     return usage("explain: " + missing);
   }
-  if (command.request.empty() == command.model.empty()) {
-    return usage("explain: needs either --request or --model");
+  const int subjects = (command.request.empty() ? 0 : 1) +
+                       (command.model.empty() ? 0 : 1) + (command.summary ? 1 : 0);
+  if (subjects != 1) {
+    return usage("explain: needs either --request, --model or --summary");
+  }
+  if (command.summary && command.logs.empty()) {
+    return usage("explain: --summary needs --log");
   }
   return ParsedLine(std::move(command));
 }
--- a/src/cli/internal/explaincommand.cpp
+++ b/src/cli/internal/explaincommand.cpp
@@ -6,6 +6,7 @@
 #include "cli/internal/explanation.h"
 #include "cli/internal/logevents.h"
 #include "cli/internal/operatorclient.h"
+#include "cli/internal/requestsummary.h"
 #include "cli/internal/runcommands.h"
 
 namespace savoryrill::cli {
@@ -88,6 +89,20 @@
   aOut << toCompactJson(result) << "\n";
 }
 
+ExitCode
+summarizeLogs(const ExplainCommand& aCommand,
+              const std::vector<Json::Value>& aEvents,
+              const Environment& aEnvironment)
+{
+  const auto routes = summarizeRequests(aEvents);
+  if (aCommand.json) {
+    aEnvironment.out << toCompactJson(summaryJson(routes)) << "\n";
+  } else {
+    printSummary(routes, aEnvironment.out);
+  }
+  return routes.empty() ? ExitCode::Negative : ExitCode::Success;
+}
+
 ExitCode
 explainLogs(const ExplainCommand& aCommand, const Environment& aEnvironment)
 {
@@ -100,6 +115,9 @@
     aEnvironment.err << logs.value().unreadableLines << " lines are no events\n";
   }
   auto& all = logs.value().events;
+  if (aCommand.summary) {
+    return summarizeLogs(aCommand, all, aEnvironment);
+  }
   std::vector<Json::Value> events;
   std::string conclusion;
   if (aCommand.request.empty()) {
--- a/src/cli/tests/logeventstest.cpp
+++ b/src/cli/tests/logeventstest.cpp
@@ -2,9 +2,11 @@
 
 #include <cstdio>
 #include <fstream>
+#include <sstream>
 
 #include "cli/internal/explanation.h"
 #include "cli/internal/logevents.h"
+#include "cli/internal/requestsummary.h"
 
 using namespace savoryrill;
 using namespace savoryrill::cli;
@@ -104,3 +106,44 @@
                concludeRequest(events, "r1").c_str());
   LONGS_EQUAL(0, eventsAround(logs.events, "unknown").size());
 }
+
+// Guards against an engineer who cannot tell whether requests wait here or at upstreams.
+TEST(LogEvents, RequestsOfTwoRoutes_TimesAndReasonsAreSummarised)
+{
+  std::string text;
+  for (int at = 1; at <= 11; ++at) {
+    text += line("g@a",
+                 at,
+                 at,
+                 "call-finished",
+                 R"("route":"r","sends":")" + std::to_string(at > 9 ? 2 : 1) +
+                   R"(","waited_ms":")" + std::to_string(at * 100) + R"(","after_ms":")" +
+                   std::to_string(at * 100 + 50) + "\"");
+  }
+  text += line("g@a", 20, 20, "call-refused", R"("route":"r","reason":"overloaded")");
+  text += line("g@a", 21, 21, "call-refused", R"("route":"r","reason":"overloaded")");
+  text += line("g@a", 22, 22, "call-cut", R"("route":"s")");
+  text += line("g@a", 23, 23, "call-left", R"("route":"s")");
+  text += line("g@a", 24, 24, "call-refused", R"("reason":"no-route")");
+  const auto routes = summarizeRequests(read(text).events);
+  LONGS_EQUAL(3, routes.size());
+  STRCMP_EQUAL("-", routes[0].route.c_str());
+  LONGS_EQUAL(11, routes[1].answered);
+  LONGS_EQUAL(13, routes[1].requests());
+  LONGS_EQUAL(2, routes[1].sentAgain);
+  LONGS_EQUAL(2, routes[1].refused.at("overloaded"));
+  LONGS_EQUAL(2, routes[2].requests());
+  std::ostringstream out;
+  printSummary(routes, out);
+  CHECK_TRUE(out.str().find("600/1000") != std::string::npos);
+  CHECK_TRUE(out.str().find("50/50") != std::string::npos);
+  const auto json = summaryJson(routes);
+  LONGS_EQUAL(600, json["routes"][1]["waited_p50_ms"].asInt());
+  LONGS_EQUAL(2, json["routes"][1]["refused"]["overloaded"].asInt());
+}
+
+TEST(LogEvents, NoRequests_SummaryIsEmpty)
+{
+  LONGS_EQUAL(0,
+              summarizeRequests(read(line("g@a", 1, 1, "store-lost", "")).events).size());
+}
--- a/src/cli/types/commands.h
+++ b/src/cli/types/commands.h
@@ -50,13 +50,14 @@
   bool json = false;
 };
 
-/// Exactly one of `request` and `model` is set.
+/// Exactly one of `request`, `model` and `summary` is set; `summary` only with `logs`.
 struct ExplainCommand
 {
   OperatorTargets operators;
   std::vector<std::string> logs; // read in place of asking processes; "-": standard input
   std::string request;
   std::string model;
+  bool summary = false;
   bool json = false;
 };
 
