Load for callers who can still be served in time, on quieter engines

Change: waiting models are sorted by one pure function: late ones only when their first caller is about to give up, else those in time by callers. A loaded model is kept only until its first request was sent. Each request in progress at an engine counts 0.05 s when an engine is chosen. Demand tells when callers leave, not only the deadline. `call-finished` and `call-cut` tell the time of the first event and the longest pause.

--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/leadertask.h"
 
+#include <set>
+
 #include "gateway/types/gatewayevents.h"
 
 // The messages between the leader and the other hosts: demand and loads to the leader;
@@ -36,7 +38,7 @@
 LeaderTask::peerLost(const transport::RemotePeer& aPeer)
 {
   mPeerHosts.erase(aPeer.id);
-  mLoads.erase(aPeer.host);
+  setHostLoads(aPeer.host, {});
 }
 
 void
@@ -122,7 +124,7 @@
 void
 LeaderTask::applyDemand(const std::string& aHost, const HostDemand& aDemand)
 {
-  mLoads[aHost] = aDemand.loads;
+  setHostLoads(aHost, aDemand.loads);
   const auto now = mDependencies.loop.now();
   bool waiting = false;
   for (auto& [group, planner] : mPlanners) {
@@ -220,16 +222,33 @@
   }
 }
 
-std::map<std::string, std::uint32_t>
-LeaderTask::totalLoads() const
+void
+LeaderTask::setHostLoads(const std::string& aHost,
+                         const std::map<std::string, std::uint32_t>& aLoads)
 {
-  std::map<std::string, std::uint32_t> total;
-  for (const auto& [host, loads] : mLoads) {
-    for (const auto& [upstream, in_flight] : loads) {
-      total[upstream] += in_flight;
+  auto& known = mLoads[aHost];
+  std::set<std::string> changed;
+  for (const auto& [upstream, in_flight] : known) {
+    mTotalLoads[upstream] -= in_flight;
+    changed.insert(upstream);
+  }
+  for (const auto& [upstream, in_flight] : aLoads) {
+    mTotalLoads[upstream] += in_flight;
+    changed.insert(upstream);
+  }
+  known = aLoads;
+  if (known.empty()) {
+    mLoads.erase(aHost);
+  }
+  for (const auto& upstream : changed) {
+    const auto total = mTotalLoads.find(upstream);
+    for (auto& [group, planner] : mPlanners) {
+      planner->setEngineLoad(upstream, total->second);
+    }
+    if (total->second == 0) {
+      mTotalLoads.erase(total);
     }
   }
-  return total;
 }
 
 void
@@ -274,7 +293,7 @@
   status.fencingNumber = mLeadership.fencingNumber();
   status.hostCount = mHostCount;
   addExpectedTimes(status);
-  status.loads = totalLoads();
+  status.loads = mTotalLoads;
   status.configVersion = mHandlers.configVersion();
   status.rowVersion = mLeadership.baseVersion();
   return status;
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -174,6 +174,9 @@
     planner = std::make_unique<serving::PlacementPlanner>(
       serving::PlacementPlanner::Options{}, mDependencies.loop.now());
     planner->setProfile(profile->second);
+    for (const auto& [upstream, load] : mTotalLoads) {
+      planner->setEngineLoad(upstream, load);
+    }
   }
   return planner.get();
 }
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -111,7 +111,9 @@
   void reportDemand();
   void receiveDemand(const transport::RemotePeer& aPeer, const HostDemand& aDemand);
   void applyDemand(const std::string& aHost, const HostDemand& aDemand);
-  std::map<std::string, std::uint32_t> totalLoads() const;
+  /// Replaces the requests in progress that a host has reported.
+  void setHostLoads(const std::string& aHost,
+                    const std::map<std::string, std::uint32_t>& aLoads);
   void announceRelease();
   void receiveLeaderEntries(const transport::RemotePeer& aPeer,
                             const peer::Delta& aDelta);
@@ -163,6 +165,7 @@
   };
   std::map<std::uint64_t, PeerHost> mPeerHosts;
   std::map<std::string, std::map<std::string, std::uint32_t>> mLoads; // by host, upstream
+  std::map<std::string, std::uint32_t> mTotalLoads; // of all hosts, by upstream
   std::string mConnectedTo;
   std::string mKnownLeader;
   bool mLeading = false;
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -243,7 +243,8 @@
       ++item.inFlight;
       continue;
     }
-    const Duration remaining_time = std::max(Duration::zero(), request->deadline() - now);
+    const Duration remaining_time =
+      std::max(Duration::zero(), request->callerLeavesAt() - now);
     item.priority = item.waiting == 0 ? request->priority()
                                       : std::min(item.priority, request->priority());
     item.deadline =
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -95,6 +95,13 @@
   return toMs(mContext.loop.now() - mArrived);
 }
 
+std::int64_t
+RequestTask::firstEventMs() const
+{
+  const auto first = mStreamTimes.firstEvent();
+  return first ? toMs(*first - mArrived) : -1;
+}
+
 bool
 RequestTask::mayRetry() const
 {
@@ -196,9 +203,7 @@
   mState = State::Waiting;
   const auto now = mContext.loop.now();
   const bool engine = !mDetails.model.model.empty();
-  // Callers disconnect after `callerTimeout` without an event of a stream.
-  const Duration remaining_time =
-    std::min(mDeadline, mArrived + mRoute->callerTimeout) - now;
+  const Duration remaining_time = callerLeavesAt() - now;
   const Duration needed = engine ? kMinFirstEventTime : kMinServiceTime;
   if (mConnectionAttempts >= kMaxConnectionAttempts || remaining_time < needed) {
     refuse(mConnectionAttempts >= kMaxConnectionAttempts ? RefusalReason::NoUpstream
@@ -322,10 +327,14 @@
   if (mHead.framing == link::Framing::Length && !mRoute->resumable) {
     // The caller was sent the length, so the bytes are forwarded unchanged.
     mEventBytes += aData.size();
+    mStreamTimes.recordEvents(mContext.loop.now());
     mCaller->sendData(aData);
   } else {
     const auto events = mEvents.take(aData);
     mEventBytes += events.size();
+    if (!events.empty()) {
+      mStreamTimes.recordEvents(mContext.loop.now());
+    }
     mCaller->sendData(events);
     if (mEvents.eventTooLong()) {
       mConnection->cancel();
@@ -539,6 +548,9 @@
                        { "model", serving::toString(mDetails.model) },
                        { "reason", aReason },
                        { "last_event", mEvents.lastId() },
+                       { "waited_ms", mWaitedMs },
+                       { "first_event_ms", firstEventMs() },
+                       { "longest_pause_ms", toMs(mStreamTimes.longestPause()) },
                        { "after_ms", elapsedMs() } });
   mCaller->abort();
   end();
@@ -621,6 +633,8 @@
                        { "status", std::int64_t{ aStatus } },
                        { "sends", std::int64_t{ mAttempts } },
                        { "waited_ms", mWaitedMs },
+                       { "first_event_ms", firstEventMs() },
+                       { "longest_pause_ms", toMs(mStreamTimes.longestPause()) },
                        { "after_ms", elapsedMs() } });
 }
 
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 #include "event/loop.h"
 #include "gateway/internal/eventstream.h"
 #include "gateway/internal/refusal.h"
+#include "gateway/internal/streamtimes.h"
 #include "gateway/iprotocol.h"
 #include "gateway/upstreamselector.h"
 #include "link/inboundconnection.h"
@@ -93,7 +95,11 @@
   const std::string& group() const { return mGroup; }
   std::uint32_t priority() const { return mRoute->priority; }
   Instant arrived() const { return mArrived; }
-  Instant deadline() const { return mDeadline; }
+  /// When the caller gives up if it has received nothing by then.
+  Instant callerLeavesAt() const
+  {
+    return std::min(mDeadline, mArrived + mRoute->callerTimeout);
+  }
   /// Time by which the first event of a stream, or else the complete response, must
   /// arrive to meet the route's objective.
   Instant objective() const { return mArrived + mRoute->objective; }
@@ -133,6 +139,8 @@
   void end();
   void recordResponse(int aStatus);
   std::int64_t elapsedMs() const;
+  /// From the request's arrival to the first event of its stream; -1 before it.
+  std::int64_t firstEventMs() const;
 
   RequestContext& mContext;
   IRequestOwner& mOwner;
@@ -168,6 +176,7 @@
   std::size_t mDiscardedBytes = 0;
   bool mStreaming = false;
   EventStream mEvents;
+  StreamTimes mStreamTimes;
   std::uint64_t mEventBytes = 0;
 };
 
--- a/src/serving/internal/placementchoice.cpp
+++ b/src/serving/internal/placementchoice.cpp
@@ -2,6 +2,7 @@
 #include <functional>
 
 #include "serving/placementplanner.h"
+#include "serving/waitingmodels.h"
 
 // Choice of the engines where models are loaded, and of the models unloaded for them.
 
@@ -20,11 +21,12 @@
 constexpr double kSurplusRequestCost = 0.02;
 // Minimum time between two attempts to prefetch, which examine all engines.
 constexpr Duration kPrefetchPeriod = 500ms;
-// One in this many models is placed by earliest deadline.
-constexpr std::uint64_t kPlacementsPerEarliestDeadline = 2;
 // Cost, in seconds, of unloading a model that was requested just now; falls to zero with
 // the time since.
 constexpr double kRecentlyUsedCost = 1.0;
+// Cost, in seconds, of each request in progress at the engine that would load a model:
+// all models of an engine share its batch.
+constexpr double kEngineRequestCost = 0.05;
 
 } // namespace
 
@@ -37,7 +39,8 @@
   const auto& demand = modelDemand(aModel);
   const std::uint32_t replicas = mLocations.readyReplicas(aModel);
   const auto since = aEngine.readySince(aModel);
-  if (since && aNow - *since < mOptions.minTimeLoaded) {
+  if (since && aNow - *since < mOptions.minTimeLoaded &&
+      !hasServedSince(aModel, *since)) {
     return std::nullopt;
   }
   const auto last = mLastRequest.find(aModel);
@@ -74,9 +77,12 @@
       mSwaps.contains(aEngine.id())) {
     return std::nullopt;
   }
-  Candidate candidate{ &aEngine, "", aEngine.loadTime(aModel), 0.0 };
+  Candidate candidate{ &aEngine, "", aEngine.loadTime(aModel), 0.0, 0.0 };
+  const auto load = mEngineLoads.find(aEngine.id());
+  const double load_cost =
+    load == mEngineLoads.end() ? 0.0 : kEngineRequestCost * load->second;
   if (aEngine.fits(aModel)) {
-    candidate.cost = toSeconds(candidate.readyIn);
+    candidate.cost = toSeconds(candidate.readyIn) + load_cost;
     return candidate;
   }
   std::optional<double> lowest_cost;
@@ -94,7 +100,8 @@
   if (modelDemand(candidate.victim).inFlight > 0) {
     candidate.readyIn += mOptions.busyUnloadTime;
   }
-  candidate.cost = toSeconds(candidate.readyIn) + *lowest_cost;
+  candidate.victimCost = *lowest_cost;
+  candidate.cost = toSeconds(candidate.readyIn) + *lowest_cost + load_cost;
   return candidate;
 }
 
@@ -264,50 +271,26 @@
 void
 PlacementPlanner::placeWaitingModels(Instant aNow, std::vector<PlacementOrder>& aOrders)
 {
-  struct WaitingModel
-  {
-    std::string model;
-    Demand demand;
-    bool hasCopy = false;
-    bool inTime = false; // a load that starts now can still meet an objective
-  };
   std::vector<WaitingModel> waiting_models;
   for (const auto& [model, demand] : mModelDemand) {
-    if (demand.waiting > 0 && heldReplicas(model) == 0 &&
-        mProfile.models.contains(model)) {
-      const bool has_copy = anyEngineHas(model);
-      const auto& profile = mProfile.models.at(model);
-      const Duration load = has_copy ? profile.diskLoadTime : profile.weightStoreLoadTime;
-      const bool in_time =
-        demand.latestObjective && *demand.latestObjective - aNow > load;
-      waiting_models.push_back({ model, demand, has_copy, in_time });
+    const auto profile = mProfile.models.find(model);
+    if (demand.waiting == 0 || heldReplicas(model) > 0 ||
+        profile == mProfile.models.end()) {
+      continue;
     }
+    const bool has_copy = anyEngineHas(model);
+    waiting_models.push_back(
+      { model,
+        demand.waiting,
+        has_copy,
+        has_copy ? profile->second.diskLoadTime : profile->second.weightStoreLoadTime,
+        demand.latestObjective,
+        demand.deadline });
   }
-  // Models that some engine has come first, since they load quickly; then those that can
-  // still meet an objective, those with more waiting requests, and the earliest deadline.
-  // Every second time (`kPlacementsPerEarliestDeadline`) only the deadline decides within
-  // each of the two groups, so that late requests are not passed over for as long as new
-  // ones arrive.
-  const bool earliest_deadline_first =
-    mPlaced % kPlacementsPerEarliestDeadline == kPlacementsPerEarliestDeadline - 1;
-  std::ranges::sort(
-    waiting_models, [&](const WaitingModel& aLeft, const WaitingModel& aRight) {
-      if (aLeft.hasCopy != aRight.hasCopy) {
-        return aLeft.hasCopy;
-      }
-      if (!earliest_deadline_first && aLeft.inTime != aRight.inTime) {
-        return aLeft.inTime;
-      }
-      if (!earliest_deadline_first && aLeft.demand.waiting != aRight.demand.waiting) {
-        return aLeft.demand.waiting > aRight.demand.waiting;
-      }
-      return aLeft.demand.deadline.value_or(Instant::max()) <
-             aRight.demand.deadline.value_or(Instant::max());
-    });
+  sortByPlacementOrder(waiting_models, aNow);
   for (const auto& item : waiting_models) {
     if (const auto candidate = bestCandidate(item.model, false, aNow)) {
       loadAt(*candidate, item.model, aNow, aOrders);
-      ++mPlaced;
     }
   }
 }
@@ -354,7 +337,6 @@
     }
     if (const auto candidate = bestCandidate(model, true, aNow)) {
       loadAt(*candidate, model, aNow, aOrders);
-      ++mPlaced;
     }
   }
 }
@@ -402,7 +384,7 @@
   }
   const auto candidate = bestCandidate(missing->first, true, aNow);
   // Prefetching is not worth unloading the only ready replica of another model.
-  if (candidate && candidate->cost - toSeconds(candidate->readyIn) < kLastReplicaCost) {
+  if (candidate && candidate->victimCost < kLastReplicaCost) {
     loadAt(*candidate, missing->first, aNow, aOrders);
   }
 }
--- a/src/serving/internal/placementplanner.cpp
+++ b/src/serving/internal/placementplanner.cpp
@@ -76,6 +76,26 @@
       mLastRequest[item.model.model] = aNow;
       mLastAdapterRequest[item.model] = aNow;
     }
+    if (item.inFlight > 0) {
+      mLastInFlight[item.model.model] = aNow;
+    }
+  }
+}
+
+bool
+PlacementPlanner::hasServedSince(const std::string& aModel, Instant aSince) const
+{
+  const auto found = mLastInFlight.find(aModel);
+  return found != mLastInFlight.end() && found->second > aSince;
+}
+
+void
+PlacementPlanner::setEngineLoad(const std::string& aUpstream, std::uint32_t aRequests)
+{
+  if (aRequests == 0) {
+    mEngineLoads.erase(aUpstream);
+  } else {
+    mEngineLoads[aUpstream] = aRequests;
   }
 }
 
--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -49,8 +49,9 @@
     /// Less than `maxRequestsPerReplica`, so that replicas are not removed and added in
     /// turn.
     double maxRequestsAfterRemoval = 4;
-    /// Minimum time between the end of a model's load and its unload.
-    Duration minTimeLoaded = 1500ms;
+    /// Time after the end of a model's load during which it is not unloaded before its
+    /// first request has been sent: hosts need to learn of the replica.
+    Duration minTimeLoaded = 300ms;
     /// Time without requests after which a model counts as idle.
     Duration idleAfter = 10s;
     /// Replicas kept of a model with recent requests, so that one engine may fail. The
@@ -79,6 +80,9 @@
                     const std::vector<DemandItem>& aItems,
                     Instant aNow);
 
+  /// Sets the requests in progress at an engine, of all hosts and models.
+  void setEngineLoad(const std::string& aUpstream, std::uint32_t aRequests);
+
   /// Returns the orders to send now. They count as sent: the caller sends each and
   /// reports its outcome with `orderDone`.
   std::vector<PlacementOrder> plan(Instant aNow);
@@ -116,7 +120,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t inFlight = 0;
     std::uint32_t priority = 0;
-    std::optional<Instant> deadline;
+    std::optional<Instant> deadline;        // when the first waiting caller gives up
     std::optional<Instant> latestObjective; // of the waiting requests
   };
   struct HostDemand
@@ -129,7 +133,8 @@
     EngineLedger* engine = nullptr;
     std::string victim; // model to unload first; empty: enough memory is free
     Duration readyIn{};
-    double cost = 0;
+    double victimCost = 0; // of unloading the victim
+    double cost = 0;       // of the whole change
   };
 
   const Demand& modelDemand(const std::string& aModel) const;
@@ -150,6 +155,8 @@
   {
     return std::min(mOptions.maxRequestsPerReplica, mProfile.concurrency / 2.0);
   }
+  /// True if requests of the model were in progress after `aSince`.
+  bool hasServedSince(const std::string& aModel, Instant aSince) const;
   std::optional<double> costOfRemoving(const EngineLedger& aEngine,
                                        const std::string& aModel,
                                        bool aForFirstReplica,
@@ -187,6 +194,7 @@
   std::map<ModelKey, Demand> mAdapterDemand;
   std::map<std::string, CompletionRate> mCompletionRates; // by model
   std::map<std::string, Instant> mLastRequest;
+  std::map<std::string, Instant> mLastInFlight; // by model
   std::map<ModelKey, Instant> mLastAdapterRequest;
   ModelLocationIndex mLocations; // updated at the start of a plan and by its orders
   std::map<std::string, std::uint32_t> mSwapReplicas; // to be loaded by swaps, by model
@@ -196,7 +204,7 @@
   std::map<std::string, std::string> mSwaps; // model to load after an unload, by engine
   std::deque<Instant> mWeightStoreLoadStarts;
   WeightStoreLoadLimit mWeightStoreLoadLimit;
-  std::uint64_t mPlaced = 0; // models placed for waiting requests
+  std::map<std::string, std::uint32_t> mEngineLoads; // requests in progress, by engine
 };
 
 } // namespace savoryrill::serving
