Name the host restarted last as successor; let broken streams wait

Ruled out: a shorter gap between the orders of two hosts, which the platform's lease time sets; the slow store (112 ms a call).

Change: demand reports tell the uptime of a host that is suited to lead. A stopping leader names the host whose process started last, if after its own, in its row and in its announcement; others take the row 600 ms later. A broken resumable stream waits like a request, until its caller would leave, and may go on at the same upstream.

--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "gateway/types/gatewayevents.h"
+#include "serving/successor.h"
 
 // The messages between the leader and the other hosts: demand and loads to the leader;
 // replica views, expected times and total loads from it.
@@ -93,6 +94,9 @@
   }
   demand.reportNumber = ++mLastReportNumber;
   demand.listVersion = mHandlers.listVersion();
+  if (mSuitedToLead) {
+    demand.uptime = *mLastDemandReport - mStarted;
+  }
   mReportTimes[mLastReportNumber] = *mLastDemandReport;
   if (mReportTimes.size() > kMaxReportTimes) {
     mReportTimes.erase(mReportTimes.begin());
@@ -117,6 +121,9 @@
   if (const auto peer_host = mPeerHosts.find(aPeer.id); peer_host != mPeerHosts.end()) {
     peer_host->second.reportNumber = aDemand.reportNumber;
     peer_host->second.listVersion = aDemand.listVersion;
+    if (aDemand.uptime > Duration::zero()) {
+      peer_host->second.startedAt = mDependencies.loop.now() - aDemand.uptime;
+    }
   }
   applyDemand(aPeer.host, aDemand);
 }
@@ -171,7 +178,8 @@
     } else if (entry.kind() == peer::ENTRY_KIND_LEADER) {
       if (auto status = decodeLeaderStatus(entry.payload())) {
         if (status.value().released) {
-          mLeadership.leadershipReleased(status.value().rowVersion, now);
+          mLeadership.leadershipReleased(
+            status.value().rowVersion, status.value().successor, now);
           stepLease();
           continue;
         }
@@ -251,6 +259,20 @@
   }
 }
 
+void
+LeaderTask::nameSuccessor()
+{
+  const auto now = mDependencies.loop.now();
+  std::vector<serving::SuccessorCandidate> candidates;
+  for (const auto& [id, peer_host] : mPeerHosts) {
+    if (peer_host.startedAt) {
+      candidates.push_back({ peer_host.peer.host, now - *peer_host.startedAt });
+    }
+  }
+  mSuccessor = serving::chooseSuccessor(candidates, now - mStarted);
+  mLeadership.setSuccessor(mSuccessor);
+}
+
 void
 LeaderTask::announceRelease()
 {
@@ -260,6 +282,7 @@
   status.fencingNumber = mLeadership.fencingNumber();
   status.rowVersion = mLeadership.baseVersion();
   status.released = true;
+  status.successor = mSuccessor;
   peer::Delta delta;
   auto* entry = delta.add_entries();
   entry->set_kind(peer::ENTRY_KIND_LEADER);
--- a/src/gateway/internal/leaderrowcodec.cpp
+++ b/src/gateway/internal/leaderrowcodec.cpp
@@ -12,6 +12,9 @@
   value["endpoint"] = aRow.endpoint;
   value["term"] = aRow.term;
   value["released"] = aRow.released;
+  if (!aRow.successor.empty()) {
+    value["successor"] = aRow.successor;
+  }
   return toCompactJson(value);
 }
 
@@ -33,6 +36,7 @@
   row.endpoint = *endpoint;
   row.term = *term;
   row.released = released.asBool();
+  row.successor = stringMember(value, "successor").value_or("");
   return row;
 }
 
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -46,6 +46,12 @@
   return local;
 }
 
+bool
+hasSlowLink(const config::GatewaySettings& aSettings)
+{
+  return aSettings.linkMbps > 0 && aSettings.linkMbps < kMinLeaderLinkMbps;
+}
+
 serving::Leadership::Options
 leadershipOptions(const config::GatewaySettings& aSettings)
 {
@@ -53,7 +59,7 @@
   options.host = aSettings.host;
   options.endpoint = link::toString(aSettings.peerAddress);
   options.handoverGap = aSettings.orderTurnTime;
-  if (aSettings.linkMbps > 0 && aSettings.linkMbps < kMinLeaderLinkMbps) {
+  if (hasSlowLink(aSettings)) {
     options.takeDelay = kSlowLinkTakeDelay;
   }
   return options;
@@ -99,6 +105,8 @@
   , mHandlers(std::move(aHandlers))
   , mRandom(aSeed)
   , mLeadership(leadershipOptions(aSettings))
+  , mStarted(aDependencies.loop.now())
+  , mSuitedToLead(!hasSlowLink(aSettings))
 {
 }
 
@@ -185,6 +193,9 @@
 LeaderTask::releaseLeadership()
 {
   mStopping = true;
+  if (mLeading) {
+    nameSuccessor();
+  }
   stepLease();
 }
 
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -114,6 +114,8 @@
   /// Replaces the requests in progress that a host has reported.
   void setHostLoads(const std::string& aHost,
                     const std::map<std::string, std::uint32_t>& aLoads);
+  /// Chooses the host that should lead after this one has stopped.
+  void nameSuccessor();
   void announceRelease();
   void receiveLeaderEntries(const transport::RemotePeer& aPeer,
                             const peer::Delta& aDelta);
@@ -161,7 +163,8 @@
     // progress and the last successful one began.
     std::uint64_t reportAtReadStart = 0;
     std::uint64_t reportBeforeLastRead = 0;
-    bool needsAllViews = true; // after it connected or a message to it was lost
+    std::optional<Instant> startedAt; // of its process; nothing if it should not lead
+    bool needsAllViews = true;        // after it connected or a message to it was lost
   };
   std::map<std::uint64_t, PeerHost> mPeerHosts;
   std::map<std::string, std::map<std::string, std::uint32_t>> mLoads; // by host, upstream
@@ -171,6 +174,9 @@
   bool mLeading = false;
   bool mListRead = false; // since this host became the leader
   bool mStopping = false;
+  Instant mStarted;
+  bool mSuitedToLead;     // its link is fast enough
+  std::string mSuccessor; // named by this host's release; empty: none
   std::optional<Instant> mLastPlan;
   bool mDemandPosted = false;
   bool mLeaseRequestFailed = false; // the latest one; logged once per outage
--- a/src/gateway/internal/peercodec.cpp
+++ b/src/gateway/internal/peercodec.cpp
@@ -60,6 +60,7 @@
   }
   content.set_stamp(aDemand.reportNumber);
   content.set_list_version(aDemand.listVersion);
+  content.set_uptime_ms(milliseconds(aDemand.uptime));
   return content.SerializeAsString();
 }
 
@@ -73,6 +74,9 @@
   HostDemand demand;
   demand.reportNumber = content.stamp();
   demand.listVersion = content.list_version();
+  // Bounded, so that a malformed number cannot overflow.
+  demand.uptime = std::chrono::milliseconds(std::min<std::uint64_t>(
+    content.uptime_ms(), std::numeric_limits<std::int32_t>::max()));
   for (const auto& load : content.loads()) {
     demand.loads[load.upstream()] = load.in_flight();
   }
@@ -163,6 +167,7 @@
   content.set_config_version(aStatus.configVersion);
   content.set_row_version(aStatus.rowVersion);
   content.set_released(aStatus.released);
+  content.set_successor(aStatus.successor);
   return content.SerializeAsString();
 }
 
@@ -191,6 +196,7 @@
   status.configVersion = content.config_version();
   status.rowVersion = content.row_version();
   status.released = content.released();
+  status.successor = content.successor();
   return status;
 }
 
--- a/src/gateway/internal/peercodec.h
+++ b/src/gateway/internal/peercodec.h
@@ -25,6 +25,7 @@
   std::uint64_t configVersion = 0;            // in force at the leader
   std::uint64_t rowVersion = 0;               // of the leader row
   bool released = false;                      // lease released, no more orders
+  std::string successor; // with `released`: host to take the lease; empty: any
 };
 
 /// Demand report of a host to the leader.
@@ -34,6 +35,7 @@
   std::map<std::string, std::uint32_t> loads; // requests in progress, by upstream
   std::uint64_t reportNumber = 0;             // grows by 1 with each report
   std::uint64_t listVersion = 0;              // of the upstream list; 0: unknown
+  Duration uptime = Duration::zero();         // of the host's process
 };
 
 /// Changes of the upstream list that the leader sends to one host.
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -230,7 +230,8 @@
     // Checked only when the request first has to wait: the backlog is the delay of a new
     // request, and those that already wait are ahead of new ones.
     const auto backlog = mContext.selector.backlogTime(mDetails.model.model, now);
-    if (engine && backlog && !serving::shouldQueue(*backlog, objective() - now)) {
+    if (engine && !mHeadForwarded && backlog &&
+        !serving::shouldQueue(*backlog, objective() - now)) {
       refuse(RefusalReason::Overloaded);
       return;
     }
@@ -462,13 +463,12 @@
     if (startAttempt()) {
       return;
     }
-    if (!mHeadForwarded) {
-      waitOrRefuse();
-      return;
+    if (mHeadForwarded) {
+      // Rare models have one replica. The stream goes on once the model is loaded
+      // elsewhere, or at the same upstream if only the connection has failed.
+      mExcluded.clear();
     }
-  }
-  if (mHeadForwarded) {
-    abortResponse("the stream could not be resumed at another upstream");
+    waitOrRefuse();
     return;
   }
   refuse(aReason);
@@ -517,6 +517,10 @@
 void
 RequestTask::refuse(RefusalReason aReason)
 {
+  if (mHeadForwarded) {
+    abortResponse("the stream could not be resumed: " + std::string(nameOf(aReason)));
+    return;
+  }
   const auto delay = expectedDelay();
   const bool known = delay && *delay > Duration::zero();
   const auto refusal = refusalFor(aReason, mMayHaveRun, known ? delay : std::nullopt);
@@ -580,21 +584,13 @@
   const auto self = shared_from_this();
   switch (mState) {
     case State::Waiting:
-      if (mHeadForwarded) {
-        abortResponse(nameOf(aReason));
-      } else {
-        refuse(aReason);
-      }
+      refuse(aReason);
       break;
     case State::AwaitingResponse:
       mMayHaveRun = mMayHaveRun || mConnection->requestStarted();
       logAttemptFailure(nameOf(aReason));
       releaseConnection(true);
-      if (mHeadForwarded) {
-        abortResponse(nameOf(aReason));
-      } else {
-        refuse(aReason);
-      }
+      refuse(aReason);
       break;
     case State::Responding:
       releaseConnection(true);
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -95,10 +95,11 @@
   const std::string& group() const { return mGroup; }
   std::uint32_t priority() const { return mRoute->priority; }
   Instant arrived() const { return mArrived; }
-  /// When the caller gives up if it has received nothing by then.
+  /// When the caller gives up if it receives nothing more until then.
   Instant callerLeavesAt() const
   {
-    return std::min(mDeadline, mArrived + mRoute->callerTimeout);
+    const Instant last = mStreamTimes.lastEvent().value_or(mArrived);
+    return std::min(mDeadline, last + mRoute->callerTimeout);
   }
   /// Time by which the first event of a stream, or else the complete response, must
   /// arrive to meet the route's objective.
@@ -133,6 +134,7 @@
   void sendBufferedResponse();
   void releaseConnection(bool aCancel);
   void logAttemptFailure(std::string_view aReason);
+  /// Ends the request with a refusal, or by aborting a response that has begun.
   void refuse(serving::RefusalReason aReason);
   void abortResponse(std::string_view aReason);
   void onCallerDisconnected();
--- a/src/gateway/internal/streamtimes.h
+++ b/src/gateway/internal/streamtimes.h
@@ -25,6 +25,11 @@
 
   /// Time of the first event; nothing before it.
   std::optional<Instant> firstEvent() const { return mFirst; }
+  /// Time of the last event; nothing before the first.
+  std::optional<Instant> lastEvent() const
+  {
+    return mFirst ? std::optional(mLast) : std::nullopt;
+  }
   /// Longest time between two events; zero with less than two.
   Duration longestPause() const { return mLongestPause; }
 
--- a/src/serving/internal/leadership.cpp
+++ b/src/serving/internal/leadership.cpp
@@ -49,10 +49,10 @@
 Leadership::mayTake(Instant aNow) const
 {
   if (!mRow || mRow->released) {
-    return aNow - mUnchangedSince >= mOptions.takeDelay;
+    return aNow - mUnchangedSince >= releasedTakeDelay(mRow ? mRow->successor : "");
   }
   if (mReleasedVersion == mRow->version) {
-    return aNow - mUpdateVersionSince >= mOptions.takeDelay;
+    return aNow - mUpdateVersionSince >= releasedTakeDelay(mReleasedTo);
   }
   // The row names the address of this process but not its term, so an earlier process of
   // this host wrote it and has ended. Without this rule no host would send orders for a
@@ -63,6 +63,16 @@
   return aNow - mUnchangedSince >= mOptions.lease + mOptions.margin + mOptions.takeDelay;
 }
 
+Duration
+Leadership::releasedTakeDelay(const std::string& aSuccessor) const
+{
+  if (aSuccessor == mOptions.host) {
+    return Duration::zero();
+  }
+  return aSuccessor.empty() ? mOptions.takeDelay
+                            : mOptions.takeDelay + mOptions.successorHeadStart;
+}
+
 LeaderRow
 Leadership::rowFor(LeadershipStep aStep, const std::string& aTerm) const
 {
@@ -71,6 +81,7 @@
   row.endpoint = mOptions.endpoint;
   row.term = aStep == LeadershipStep::Take ? aTerm : mTerm;
   row.released = aStep == LeadershipStep::Release;
+  row.successor = row.released ? mSuccessor : "";
   return row;
 }
 
@@ -167,10 +178,13 @@
 }
 
 void
-Leadership::leadershipReleased(std::uint64_t aVersion, Instant aNow)
+Leadership::leadershipReleased(std::uint64_t aVersion,
+                               const std::string& aSuccessor,
+                               Instant aNow)
 {
   mLastUpdate.reset();
   mReleasedVersion = aVersion;
+  mReleasedTo = aSuccessor;
   mUpdateVersion = aVersion;
   mUpdateVersionSince = aNow; // the last order may have been sent just before
   mReadNeeded = true;
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -17,6 +17,7 @@
   std::string term;          // random, new each time a process takes the leadership
   bool released = false;     // the holder sends no more orders
   std::uint64_t version = 0; // row version assigned by the table store
+  std::string successor;     // of a released row: host to take it; empty: any
 };
 
 enum class LeadershipStep
@@ -58,6 +59,8 @@
     /// as leader, such as those with slow links, have a longer one, so that others take
     /// the row first.
     Duration takeDelay = Duration::zero();
+    /// Additional wait before a released row that names another host as successor.
+    Duration successorHeadStart = 600ms;
   };
 
   explicit Leadership(Options aOptions)
@@ -70,6 +73,11 @@
   /// the lease and does not take it again.
   LeadershipStep next(Instant aNow, bool aStopping) const;
 
+  /// Sets the host that a release names as successor; empty: any host. In a rolling
+  /// restart it is one that has been restarted already, since each change of leaders
+  /// costs `handoverGap` without orders.
+  void setSuccessor(std::string aHost) { mSuccessor = std::move(aHost); }
+
   /// The row to write for `Take`, `Renew` and `Release`. `aTerm` is used for a take only,
   /// each of which needs a new one.
   LeaderRow rowFor(LeadershipStep aStep, const std::string& aTerm) const;
@@ -100,8 +108,10 @@
   void leaderUpdateReceived(std::uint64_t aVersion, Instant aNow);
 
   /// Call when the leader reports that it sends no more orders under the row with
-  /// `aVersion`.
-  void leadershipReleased(std::uint64_t aVersion, Instant aNow);
+  /// `aVersion`, and names the host that should take it; empty: any.
+  void leadershipReleased(std::uint64_t aVersion,
+                          const std::string& aSuccessor,
+                          Instant aNow);
 
   /// True while this host holds the lease.
   bool leads(Instant aNow) const;
@@ -114,6 +124,8 @@
 private:
   bool ownRow() const { return mRow && !mTerm.empty() && mRow->term == mTerm; }
   bool mayTake(Instant aNow) const;
+  /// Wait before a released row is taken.
+  Duration releasedTakeDelay(const std::string& aSuccessor) const;
 
   Options mOptions;
   std::optional<LeaderRow> mRow;
@@ -126,6 +138,8 @@
   std::uint64_t mUpdateVersion = 0;
   Instant mUpdateVersionSince{};
   std::optional<std::uint64_t> mReleasedVersion;
+  std::string mReleasedTo; // successor named with `mReleasedVersion`
+  std::string mSuccessor;  // to name when this host releases the row
   bool mInFlight = false;
   bool mReadNeeded = true;
   // True if the last read found the row of this process; its lease may have lapsed.
--- a/src/serving/tests/leadershiptest.cpp
+++ b/src/serving/tests/leadershiptest.cpp
@@ -288,11 +288,49 @@
   now += 500ms;
   settle(a, "ta");
   settle(b, "tb");
-  b.leadershipReleased(old_version, now);
+  b.leadershipReleased(old_version, "", now);
   settle(b, "tb");
   CHECK_FALSE(b.leads(now));
 }
 
+// Load pattern: a rolling restart stops the leader while some hosts are still to be
+// restarted. Guards against a take by any host before the one that was named.
+TEST(Leadership, ReleaseNamesSuccessor_OthersWaitForIt)
+{
+  Leadership a(optionsOf("a"));
+  Leadership b(optionsOf("b"));
+  Leadership c(optionsOf("c"));
+  settle(a, "ta");
+  settle(b, "tb");
+  settle(c, "tc");
+  a.setSuccessor("c");
+  now += 100ms;
+  step(a, "ta", true);
+  CHECK_TRUE(stored->released);
+  b.leadershipReleased(version, "c", now);
+  c.leadershipReleased(version, "c", now);
+  settle(b, "tb");
+  CHECK_FALSE(b.leads(now));
+  settle(c, "tc");
+  CHECK_TRUE(c.leads(now));
+}
+
+// Guards against a row that nobody takes because the named host has failed meanwhile.
+TEST(Leadership, NamedSuccessorIsGone_AnotherHostTakesTheRow)
+{
+  Leadership a(optionsOf("a"));
+  Leadership b(optionsOf("b"));
+  settle(a, "ta");
+  settle(b, "tb");
+  a.setSuccessor("gone");
+  now += 100ms;
+  step(a, "ta", true);
+  for (const Instant end = now + 2s; now < end && !b.leads(now); now += 100ms) {
+    settle(b, "tb");
+  }
+  CHECK_TRUE(b.leads(now));
+}
+
 TEST(Leadership, StoreRefusesCalls_RetriesWithPause)
 {
   Leadership a(optionsOf("a"));
