Hand the lease over from a host behind a slow link

Change: a leader that is not suited releases the lease to the first suited host that reports to it, and stays as a follower. Suited hosts are told apart by the uptime in their demand reports.

--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -125,6 +125,11 @@
       peer_host->second.startedAt = mDependencies.loop.now() - aDemand.uptime;
     }
   }
+  if (!mSuitedToLead && aDemand.uptime > Duration::zero()) {
+    // A host behind a slow link loses its lease again and again under load, so it hands
+    // over to the first suited host that it hears of.
+    releaseTo(aPeer.host);
+  }
   applyDemand(aPeer.host, aDemand);
 }
 
@@ -273,6 +278,22 @@
   mLeadership.setSuccessor(mSuccessor);
 }
 
+void
+LeaderTask::releaseTo(const std::string& aHost)
+{
+  if (mHandingOver) {
+    return;
+  }
+  mHandingOver = true;
+  nameSuccessor();
+  if (mSuccessor.empty()) {
+    mSuccessor = aHost;
+    mLeadership.setSuccessor(aHost);
+  }
+  stepLease();
+  updateLeadership();
+}
+
 void
 LeaderTask::announceRelease()
 {
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -218,7 +218,7 @@
 LeaderTask::stepLease()
 {
   const auto now = mDependencies.loop.now();
-  const auto step = mLeadership.next(now, mStopping);
+  const auto step = mLeadership.next(now, mStopping || mHandingOver);
   switch (step) {
     case LeadershipStep::None:
       return;
@@ -309,6 +309,7 @@
       { { "leader", leader },
         { "own", leads ? "yes" : "no" },
         { "fencing", leads ? mLeadership.fencingNumber() : std::uint64_t{ 0 } },
+        { "successor", mSuccessor },
         { "row_version", row ? row->version : std::uint64_t{ 0 } } });
   }
   mKnownLeader = leader;
@@ -317,6 +318,7 @@
     return;
   }
   mLeading = leads;
+  mHandingOver = false;
   mListRead = false;
   mPublished.clear();
   mUnsentViews.clear();
@@ -328,6 +330,8 @@
   } else {
     announceRelease();
   }
+  mSuccessor.clear();
+  mLeadership.setSuccessor("");
   mHandlers.onLeadershipChanged(leads);
   connectToLeader();
 }
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -116,6 +116,9 @@
                     const std::map<std::string, std::uint32_t>& aLoads);
   /// Chooses the host that should lead after this one has stopped.
   void nameSuccessor();
+  /// Releases the lease of this host, which goes on as a follower. The host named last in
+  /// a rolling restart is preferred to `aHost`.
+  void releaseTo(const std::string& aHost);
   void announceRelease();
   void receiveLeaderEntries(const transport::RemotePeer& aPeer,
                             const peer::Delta& aDelta);
@@ -174,6 +177,7 @@
   bool mLeading = false;
   bool mListRead = false; // since this host became the leader
   bool mStopping = false;
+  bool mHandingOver = false; // releasing the lease to a suited host
   Instant mStarted;
   bool mSuitedToLead;     // its link is fast enough
   std::string mSuccessor; // named by this host's release; empty: none
