--- a/src/cli/internal/requestsummary.cpp
+++ b/src/cli/internal/requestsummary.cpp
@@ -43,12 +43,22 @@
   ++aRoute.answered;
   aRoute.waitedMs.push_back(waited);
   aRoute.upstreamMs.push_back(numberOf(aEvent, "after_ms") - waited);
-  aRoute.sentAgain += numberOf(aEvent, "sends") > 1 ? 1 : 0;
+  const bool sent_again = numberOf(aEvent, "sends") > 1;
+  aRoute.sentAgain += sent_again ? 1 : 0;
+  // A resumed stream may have had its first event before it was sent again.
+  if (const auto first_event = numberOf(aEvent, "first_event_ms");
+      first_event > 0 && !sent_again) {
+    aRoute.firstEventMs.push_back(first_event - waited);
+    aRoute.longestPauseMs.push_back(numberOf(aEvent, "longest_pause_ms"));
+  }
 }
 
 std::string
 both(const std::vector<std::int64_t>& aValues)
 {
+  if (aValues.empty()) {
+    return "-";
+  }
   return std::to_string(quantile(aValues, kMedian)) + "/" +
          std::to_string(quantile(aValues, kTail));
 }
@@ -100,6 +110,8 @@
                                 "ANSWERED",
                                 "WAITED P50/P90 MS",
                                 "UPSTREAM P50/P90 MS",
+                                "FIRST EVENT P50/P90 MS",
+                                "LONGEST PAUSE P50/P90 MS",
                                 "SENT AGAIN",
                                 "REFUSED",
                                 "CUT",
@@ -111,6 +123,8 @@
                      std::to_string(route.answered),
                      both(route.waitedMs),
                      both(route.upstreamMs),
+                     both(route.firstEventMs),
+                     both(route.longestPauseMs),
                      std::to_string(route.sentAgain),
                      std::to_string(refusals(route)),
                      std::to_string(route.cut),
@@ -140,6 +154,12 @@
     item["waited_p90_ms"] = Json::Int64(quantile(route.waitedMs, kTail));
     item["upstream_p50_ms"] = Json::Int64(quantile(route.upstreamMs, kMedian));
     item["upstream_p90_ms"] = Json::Int64(quantile(route.upstreamMs, kTail));
+    if (!route.firstEventMs.empty()) {
+      item["first_event_p50_ms"] = Json::Int64(quantile(route.firstEventMs, kMedian));
+      item["first_event_p90_ms"] = Json::Int64(quantile(route.firstEventMs, kTail));
+      item["longest_pause_p50_ms"] = Json::Int64(quantile(route.longestPauseMs, kMedian));
+      item["longest_pause_p90_ms"] = Json::Int64(quantile(route.longestPauseMs, kTail));
+    }
     item["sent_again"] = Json::UInt64(route.sentAgain);
     item["refused"] = Json::Value(Json::objectValue);
     for (const auto& [reason, count] : route.refused) {
--- a/src/cli/tests/logeventstest.cpp
+++ b/src/cli/tests/logeventstest.cpp
@@ -142,6 +142,37 @@
   LONGS_EQUAL(2, json["routes"][1]["refused"]["overloaded"].asInt());
 }
 
+// Guards against an engineer who cannot tell late first events from pauses, which show
+// that the batch of an engine is too large.
+TEST(LogEvents, Streams_FirstEventsAndPausesAreSummarised)
+{
+  std::string text;
+  for (int at = 1; at <= 11; ++at) {
+    text += line(
+      "g@a",
+      at,
+      at,
+      "call-finished",
+      R"("route":"r","sends":"1","waited_ms":"100","after_ms":"2000","first_event_ms":")" +
+        std::to_string(100 + at) + R"(","longest_pause_ms":")" + std::to_string(at * 10) +
+        "\"");
+  }
+  text += line("g@a",
+               12,
+               12,
+               "call-finished",
+               R"("route":"r","sends":"2","waited_ms":"900","after_ms":"2000",)"
+               R"("first_event_ms":"150","longest_pause_ms":"800")");
+  const auto routes = summarizeRequests(read(text).events);
+  const auto json = summaryJson(routes);
+  LONGS_EQUAL(6, json["routes"][0]["first_event_p50_ms"].asInt());
+  LONGS_EQUAL(10, json["routes"][0]["first_event_p90_ms"].asInt());
+  LONGS_EQUAL(60, json["routes"][0]["longest_pause_p50_ms"].asInt());
+  std::ostringstream out;
+  printSummary(routes, out);
+  CHECK_TRUE(out.str().find("60/100") != std::string::npos);
+}
+
 TEST(LogEvents, NoRequests_SummaryIsEmpty)
 {
   LONGS_EQUAL(0,
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -383,6 +383,13 @@
       for (const auto& order : planner->plan(now)) {
         sendOrder(order);
       }
+      for (const auto& blocked : planner->takeBlockedModels()) {
+        mDependencies.log.write(kLoadBlocked,
+                                { { "model", blocked.model },
+                                  { "obstacle", nameOf(blocked.obstacle) },
+                                  { "waiting", std::int64_t{ blocked.waiting } },
+                                  { "engines", std::int64_t{ blocked.engines } } });
+      }
       for (const auto& id : planner->enginesWithReportDue(now)) {
         readReport(id);
       }
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -124,5 +124,11 @@
   "report-failed",
   "An engine's report could not be read; `reason` says why."
 };
+inline constexpr EventDefinition kLoadBlocked{
+  4121,
+  Severity::Info,
+  "load-blocked",
+  "No engine can load a model with waiting requests now; `obstacle` says why."
+};
 
 } // namespace savoryrill::gateway
--- a/src/serving/internal/placementchoice.cpp
+++ b/src/serving/internal/placementchoice.cpp
@@ -132,6 +132,45 @@
   return best;
 }
 
+PlacementObstacle
+PlacementPlanner::obstacleAt(const EngineLedger& aEngine, Instant aNow) const
+{
+  if (!aEngine.mayOrderModel(aNow) || mSwaps.contains(aEngine.id())) {
+    return PlacementObstacle::OrderInProgress;
+  }
+  bool in_use = false;
+  for (const auto& model : aEngine.readyModels()) {
+    const auto since = aEngine.readySince(model);
+    if (since && aNow - *since < mOptions.minTimeLoaded &&
+        !hasServedSince(model, *since)) {
+      return PlacementObstacle::ReplicaUnused;
+    }
+    in_use = in_use || mLocations.readyReplicas(model) <= 1;
+  }
+  return in_use ? PlacementObstacle::ModelsInUse : PlacementObstacle::ReplicasNeeded;
+}
+
+void
+PlacementPlanner::recordBlocked(const std::string& aModel, Instant aNow)
+{
+  const auto known = mBlocked.find(aModel);
+  if (known != mBlocked.end() && aNow - known->second.reportedAt < kBlockedReportPeriod) {
+    return;
+  }
+  BlockedModel blocked{ aModel, PlacementObstacle::NoCopy, modelDemand(aModel).waiting };
+  for (const auto* engine : mLocations.enginesWith(aModel)) {
+    if (engine->leaving()) {
+      continue;
+    }
+    blocked.obstacle = std::min(blocked.obstacle, obstacleAt(*engine, aNow));
+    ++blocked.engines;
+  }
+  if (known == mBlocked.end() || known->second.obstacle != blocked.obstacle) {
+    mNewlyBlocked.push_back(blocked);
+  }
+  mBlocked[aModel] = { blocked.obstacle, aNow };
+}
+
 void
 PlacementPlanner::sendOrder(EngineLedger& aEngine,
                             OrderKind aKind,
@@ -291,8 +330,14 @@
   for (const auto& item : waiting_models) {
     if (const auto candidate = bestCandidate(item.model, false, aNow)) {
       loadAt(*candidate, item.model, aNow, aOrders);
+      mBlocked.erase(item.model);
+    } else if (item.hasCopy) {
+      recordBlocked(item.model, aNow);
     }
   }
+  std::erase_if(mBlocked, [&](const auto& aBlocked) {
+    return modelDemand(aBlocked.first).waiting == 0 || heldReplicas(aBlocked.first) > 0;
+  });
 }
 
 void
@@ -332,11 +377,12 @@
   }
   std::ranges::sort(waiting_models, std::greater{});
   for (const auto& [waiting, model] : waiting_models) {
-    if (!weightStoreLoadAllowed(aNow)) {
-      return;
-    }
-    if (const auto candidate = bestCandidate(model, true, aNow)) {
+    const auto candidate = weightStoreLoadAllowed(aNow) ? bestCandidate(model, true, aNow)
+                                                        : std::optional<Candidate>{};
+    if (candidate) {
       loadAt(*candidate, model, aNow, aOrders);
+    } else if (heldReplicas(model) == 0) {
+      recordBlocked(model, aNow);
     }
   }
 }
--- a/src/serving/internal/placementplanner.cpp
+++ b/src/serving/internal/placementplanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace savoryrill::serving {
 
@@ -266,6 +267,12 @@
                                  : found->second.replicas(aNow);
 }
 
+std::vector<BlockedModel>
+PlacementPlanner::takeBlockedModels()
+{
+  return std::exchange(mNewlyBlocked, {});
+}
+
 std::optional<Instant>
 PlacementPlanner::nextPlanTime() const
 {
--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -37,6 +37,10 @@
 class PlacementPlanner
 {
 public:
+  /// Minimum time between two reports of a model's obstacles, which change with each
+  /// plan.
+  static constexpr Duration kBlockedReportPeriod = 1s;
+
   struct Options
   {
     /// Window in which loads from the weight store are counted to limit their rate.
@@ -99,6 +103,10 @@
   /// Replicas at an engine, to publish to the hosts that send it requests.
   std::vector<ReplicaView> replicas(const std::string& aUpstream, Instant aNow) const;
 
+  /// Returns the models that have become blocked, or blocked by another obstacle, since
+  /// the last call; each at most once in `kBlockedReportPeriod`.
+  std::vector<BlockedModel> takeBlockedModels();
+
   /// When `plan` should run again even without changes; nothing if it need not.
   std::optional<Instant> nextPlanTime() const;
 
@@ -128,6 +136,11 @@
     std::vector<DemandItem> items;
     Instant receivedAt{};
   };
+  struct Blocked
+  {
+    PlacementObstacle obstacle = PlacementObstacle::NoCopy;
+    Instant reportedAt{};
+  };
   struct Candidate
   {
     EngineLedger* engine = nullptr;
@@ -167,6 +180,9 @@
   std::optional<Candidate> bestCandidate(const std::string& aModel,
                                          bool aAnySource,
                                          Instant aNow);
+  PlacementObstacle obstacleAt(const EngineLedger& aEngine, Instant aNow) const;
+  /// Notes that no engine can load the model now.
+  void recordBlocked(const std::string& aModel, Instant aNow);
   void loadAt(const Candidate& aCandidate,
               const std::string& aModel,
               Instant aNow,
@@ -198,7 +214,9 @@
   std::map<ModelKey, Instant> mLastAdapterRequest;
   ModelLocationIndex mLocations; // updated at the start of a plan and by its orders
   std::map<std::string, std::uint32_t> mSwapReplicas; // to be loaded by swaps, by model
-  std::uint32_t mWeightStoreSwaps = 0; // swaps that will load from the weight store
+  std::uint32_t mWeightStoreSwaps = 0;     // swaps that will load from the weight store
+  std::map<std::string, Blocked> mBlocked; // models blocked at the last plan
+  std::vector<BlockedModel> mNewlyBlocked; // to be taken
   double mSmallestModelMb = 0;
   Instant mNextPrefetch{};
   std::map<std::string, std::string> mSwaps; // model to load after an unload, by engine
--- a/src/serving/tests/placementplannertest.cpp
+++ b/src/serving/tests/placementplannertest.cpp
@@ -381,6 +381,30 @@
   CHECK_TRUE(*time < 2500ms); // a load takes 2 s
 }
 
+// Load pattern: a rare model waits while the engine with its copy runs requests of all
+// its models. Guards against an operator who cannot tell why it is not loaded, and
+// against a report with each plan.
+TEST(PlacementPlanner, AllModelsInUse_ObstacleIsReportedOnce)
+{
+  simulation.addEngine("u1", { "a", "b", "c" }).onDisk.insert("d");
+  std::vector<DemandItem> items;
+  for (const char* name : { "a", "b", "c" }) {
+    items.push_back(EngineSimulation::inFlight(name, 1));
+  }
+  simulation.setDemand("h", items);
+  simulation.run(2s);
+  CHECK_TRUE(simulation.planner->takeBlockedModels().empty());
+  items.push_back(EngineSimulation::waiting("d", 2));
+  simulation.setDemand("h", items);
+  simulation.run(5s);
+  const auto blocked = simulation.planner->takeBlockedModels();
+  LONGS_EQUAL(1, blocked.size());
+  STRCMP_EQUAL("d", blocked[0].model.c_str());
+  CHECK_TRUE(blocked[0].obstacle == PlacementObstacle::ModelsInUse);
+  LONGS_EQUAL(2, blocked[0].waiting);
+  LONGS_EQUAL(1, blocked[0].engines);
+}
+
 // Load pattern: the largest deployment (140 engines and 750 models), with requests for 60
 // models at once. Guards against requested models that are not loaded within 3 s.
 TEST(PlacementPlanner, ManyEnginesAndModels_RequestedOnesAreLoaded)
--- a/src/serving/types/placement.h
+++ b/src/serving/types/placement.h
@@ -40,15 +40,35 @@
   Unknown        // no response: the engine may carry it out, even later
 };
 
+/// Why a model with waiting requests is not loaded yet: of the engines with a checkpoint
+/// copy, the obstacle at the one that will probably be free first.
+enum class PlacementObstacle
+{
+  OrderInProgress, // the engine carries out another order
+  ReplicaUnused,   // a replica loaded just now has not served a request yet
+  ModelsInUse,     // the only replicas of models with requests in progress
+  ReplicasNeeded,  // the other replicas of a model could not take over its requests
+  NoCopy           // no engine has a copy; the weight store is busy or all engines are
+};
+
+/// A model with waiting requests that no engine could load at the last plan.
+struct BlockedModel
+{
+  std::string model;
+  PlacementObstacle obstacle = PlacementObstacle::NoCopy;
+  std::uint32_t waiting = 0;
+  std::uint32_t engines = 0; // with a checkpoint copy
+};
+
 /// Demand of one host for a model or adapter.
 struct DemandItem
 {
   ModelKey model;
   std::uint32_t waiting = 0;
   std::uint32_t inFlight = 0;
-  std::uint32_t arrivals = 0;       // since the host's previous report
-  std::uint32_t finished = 0;       // likewise, with a complete response
-  std::uint32_t priority = 0;       // most urgent (lowest number) of the waiting requests
+  std::uint32_t arrivals = 0; // since the host's previous report
+  std::uint32_t finished = 0; // likewise, with a complete response
+  std::uint32_t priority = 0; // most urgent (lowest number) of the waiting requests
   /// Time until the first caller of a waiting request gives up.
   std::optional<Duration> deadline;
   /// Longest time left to a waiting request to meet its objective.
@@ -86,6 +106,18 @@
   } };
 };
 
+template<>
+struct EnumNames<serving::PlacementObstacle>
+{
+  static constexpr EnumTable<serving::PlacementObstacle, 5> kTable{ {
+    { serving::PlacementObstacle::OrderInProgress, "order-in-progress" },
+    { serving::PlacementObstacle::ReplicaUnused, "replica-unused" },
+    { serving::PlacementObstacle::ModelsInUse, "models-in-use" },
+    { serving::PlacementObstacle::ReplicasNeeded, "replicas-needed" },
+    { serving::PlacementObstacle::NoCopy, "no-copy" },
+  } };
+};
+
 template<>
 struct EnumNames<serving::OrderOutcome>
 {
