Remove the priority of waiting requests from demand reports

Cause: hosts sent it and the planner summed it up, and nothing read it.

The codec tests check the uptime and the successor, and that a row of an older build, which names none, is read.

--- a/src/gateway/internal/peercodec.cpp
+++ b/src/gateway/internal/peercodec.cpp
@@ -52,7 +52,6 @@
     encoded->set_in_flight(item.inFlight);
     encoded->set_arrivals(item.arrivals);
     encoded->set_finished(item.finished);
-    encoded->set_priority(item.priority);
     encoded->set_in_time_ms(milliseconds(item.timeToObjective));
     if (item.deadline) {
       encoded->set_earliest_deadline_ms(milliseconds(*item.deadline));
@@ -87,7 +86,6 @@
     item.inFlight = encoded.in_flight();
     item.arrivals = encoded.arrivals();
     item.finished = encoded.finished();
-    item.priority = encoded.priority();
     item.timeToObjective = std::chrono::milliseconds(encoded.in_time_ms());
     if (item.waiting > 0) {
       item.deadline = std::chrono::milliseconds(encoded.earliest_deadline_ms());
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -245,8 +245,6 @@
     }
     const Duration remaining_time =
       std::max(Duration::zero(), request->callerLeavesAt() - now);
-    item.priority = item.waiting == 0 ? request->priority()
-                                      : std::min(item.priority, request->priority());
     item.deadline =
       item.deadline ? std::min(*item.deadline, remaining_time) : remaining_time;
     item.timeToObjective = std::max(item.timeToObjective, request->objective() - now);
--- a/src/gateway/tests/codectest.cpp
+++ b/src/gateway/tests/codectest.cpp
@@ -36,7 +36,9 @@
   item.deadline = 1500ms;
   demand.items.push_back(item);
   demand.loads["u1"] = 5;
+  demand.uptime = 2500ms;
   const auto decoded = decodeDemand(encodeDemand(demand));
+  CHECK_TRUE(decoded.value().uptime == 2500ms);
   CHECK_TRUE(decoded.value().items[0].model == item.model);
   LONGS_EQUAL(3, decoded.value().items[0].inFlight);
   LONGS_EQUAL(6, decoded.value().items[0].finished);
@@ -105,20 +107,27 @@
   status.loads["u"] = 4;
   status.rowVersion = 12;
   status.released = true;
+  status.successor = "b";
   const auto decoded = decodeLeaderStatus(encodeLeaderStatus(status));
   LONGS_EQUAL(9, decoded.value().hostCount);
   CHECK_TRUE(decoded.value().readyTimes.at("m") == 2s);
   CHECK_TRUE(decoded.value().backlogs.at("n") == 3s);
   LONGS_EQUAL(12, decoded.value().rowVersion);
   CHECK_TRUE(decoded.value().released);
+  STRCMP_EQUAL("b", decoded.value().successor.c_str());
 }
 
 TEST(GatewayCodec, LeaderRow_SurvivesEncodingAndMalformedOneFails)
 {
-  const serving::LeaderRow row{ "h", "127.0.0.1:1", "t", true, 0 };
+  const serving::LeaderRow row{ "h", "127.0.0.1:1", "t", true, 0, "b" };
   const auto decoded = decodeLeaderRow(encodeLeaderRow(row));
   STRCMP_EQUAL("h", decoded.value().host.c_str());
   CHECK_TRUE(decoded.value().released);
+  STRCMP_EQUAL("b", decoded.value().successor.c_str());
+  // Rows of older builds name no successor.
+  const auto older = decodeLeaderRow(
+    R"({"host":"h","endpoint":"127.0.0.1:1","term":"t","released":true})");
+  STRCMP_EQUAL("", older.value().successor.c_str());
   CHECK_FALSE(decodeLeaderRow("").has_value());
   CHECK_FALSE(decodeLeaderRow(R"({"host":"h"})").has_value());
 }
--- a/src/serving/internal/placementplanner.cpp
+++ b/src/serving/internal/placementplanner.cpp
@@ -104,8 +104,6 @@
 PlacementPlanner::addDemand(Demand& aDemand, const DemandItem& aItem, Instant aReceivedAt)
 {
   if (aItem.waiting > 0) {
-    aDemand.priority =
-      aDemand.waiting == 0 ? aItem.priority : std::min(aDemand.priority, aItem.priority);
     const Instant objective = aReceivedAt + aItem.timeToObjective;
     aDemand.latestObjective =
       aDemand.latestObjective ? std::max(*aDemand.latestObjective, objective) : objective;
--- a/src/serving/types/placement.h
+++ b/src/serving/types/placement.h
@@ -68,7 +68,6 @@
   std::uint32_t inFlight = 0;
   std::uint32_t arrivals = 0; // since the host's previous report
   std::uint32_t finished = 0; // likewise, with a complete response
-  std::uint32_t priority = 0; // most urgent (lowest number) of the waiting requests
   /// Time until the first caller of a waiting request gives up.
   std::optional<Duration> deadline;
   /// Longest time left to a waiting request to meet its objective.
