Hand over to the same host only once

Cause: found by reading. A leader behind a slow link hands over to the first suited host that reports to it. If that host reaches the other hosts but not the store, as when single hosts are partitioned from it, it never takes the row, and each further host behind a slow link would hand over to it again: no host would ever send orders.

Change: a host that takes a row whose named successor did not take it knows that, and does not name this host while it leads. Test: Leadership, SuccessorDoesNotTakeTheRow_NextLeaderKnowsIt.

--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -125,9 +125,10 @@
       peer_host->second.startedAt = mDependencies.loop.now() - aDemand.uptime;
     }
   }
-  if (!mSuitedToLead && aDemand.uptime > Duration::zero()) {
+  if (!mSuitedToLead && aDemand.uptime > Duration::zero() &&
+      aPeer.host != mLeadership.skippedSuccessor()) {
     // A host behind a slow link loses its lease again and again under load, so it hands
-    // over to the first suited host that it hears of.
+    // over to the first suited host that it hears of, once.
     releaseTo(aPeer.host);
   }
   applyDemand(aPeer.host, aDemand);
@@ -270,7 +271,7 @@
   const auto now = mDependencies.loop.now();
   std::vector<serving::SuccessorCandidate> candidates;
   for (const auto& [id, peer_host] : mPeerHosts) {
-    if (peer_host.startedAt) {
+    if (peer_host.startedAt && peer_host.peer.host != mLeadership.skippedSuccessor()) {
       candidates.push_back({ peer_host.peer.host, now - *peer_host.startedAt });
     }
   }
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -116,8 +116,8 @@
                     const std::map<std::string, std::uint32_t>& aLoads);
   /// Chooses the host that should lead after this one has stopped.
   void nameSuccessor();
-  /// Releases the lease of this host, which goes on as a follower. The host named last in
-  /// a rolling restart is preferred to `aHost`.
+  /// Releases the lease of this host, which goes on as a follower. The suited host that
+  /// was restarted last, if any, is preferred to `aHost`.
   void releaseTo(const std::string& aHost);
   void announceRelease();
   void receiveLeaderEntries(const transport::RemotePeer& aPeer,
--- a/src/serving/internal/leadership.cpp
+++ b/src/serving/internal/leadership.cpp
@@ -121,6 +121,11 @@
   if (aStep == LeadershipStep::Take) {
     mTerm = aRow.term;
     mFencingNumber = aVersion;
+    const bool announced = previous && mReleasedVersion == previous->version;
+    mSkippedSuccessor = !previous ? "" : announced ? mReleasedTo : previous->successor;
+    if (mSkippedSuccessor == mOptions.host) {
+      mSkippedSuccessor.clear();
+    }
     if (!previous || previous->host == mOptions.host) {
       // There was no holder, or this host was the holder. Orders of the same host need no
       // handover gap between them.
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -118,6 +118,9 @@
   /// True while orders may be sent. Callers check it right before sending each order.
   bool mayOrder(Instant aNow) const;
   std::uint64_t fencingNumber() const { return mFencingNumber; }
+  /// The host that the predecessor named as successor and that did not take the row, so
+  /// that this host did; empty if there is none. It may not reach the table store.
+  const std::string& skippedSuccessor() const { return mSkippedSuccessor; }
   /// The last known row.
   const std::optional<LeaderRow>& row() const { return mRow; }
 
@@ -138,8 +141,9 @@
   std::uint64_t mUpdateVersion = 0;
   Instant mUpdateVersionSince{};
   std::optional<std::uint64_t> mReleasedVersion;
-  std::string mReleasedTo; // successor named with `mReleasedVersion`
-  std::string mSuccessor;  // to name when this host releases the row
+  std::string mReleasedTo;       // successor named with `mReleasedVersion`
+  std::string mSuccessor;        // to name when this host releases the row
+  std::string mSkippedSuccessor; // by the last take of this host
   bool mInFlight = false;
   bool mReadNeeded = true;
   // True if the last read found the row of this process; its lease may have lapsed.
--- a/src/serving/tests/leadershiptest.cpp
+++ b/src/serving/tests/leadershiptest.cpp
@@ -329,6 +329,34 @@
     settle(b, "tb");
   }
   CHECK_TRUE(b.leads(now));
+  STRCMP_EQUAL("gone", b.skippedSuccessor().c_str());
+}
+
+// Load pattern: hosts behind slow links and one suited host, which is cut off from the
+// store but not from the hosts. Guards against leaders that hand over to it in turn, so
+// that no host ever sends orders.
+TEST(Leadership, SuccessorDoesNotTakeTheRow_NextLeaderKnowsIt)
+{
+  Leadership a(optionsOf("a"));
+  Leadership b(optionsOf("b"));
+  settle(a, "ta");
+  settle(b, "tb");
+  STRCMP_EQUAL("", a.skippedSuccessor().c_str());
+  a.setSuccessor("s");
+  now += 100ms;
+  const auto old_version = a.baseVersion();
+  step(a, "ta", true);
+  b.leadershipReleased(old_version, "s", now);
+  for (const Instant end = now + 2s; now < end && !b.leads(now); now += 100ms) {
+    settle(b, "tb");
+  }
+  STRCMP_EQUAL("s", b.skippedSuccessor().c_str());
+  b.setSuccessor("a");
+  step(b, "tb", true);
+  a.leadershipReleased(version, "a", now);
+  settle(a, "ta2");
+  CHECK_TRUE(a.leads(now));
+  STRCMP_EQUAL("", a.skippedSuccessor().c_str());
 }
 
 TEST(Leadership, StoreRefusesCalls_RetriesWithPause)
