Name the time until a caller gives up for what it is in demand reports

Demand reports carried it as deadline; callers of streams leave before their deadline when no event arrives. The name on the wire stays. No behaviour changes.

--- a/src/gateway/internal/peercodec.cpp
+++ b/src/gateway/internal/peercodec.cpp
@@ -53,8 +53,8 @@
     encoded->set_arrivals(item.arrivals);
     encoded->set_finished(item.finished);
     encoded->set_in_time_ms(milliseconds(item.timeToObjective));
-    if (item.deadline) {
-      encoded->set_earliest_deadline_ms(milliseconds(*item.deadline));
+    if (item.firstLeavesIn) {
+      encoded->set_earliest_deadline_ms(milliseconds(*item.firstLeavesIn));
     }
   }
   content.set_stamp(aDemand.reportNumber);
@@ -88,7 +88,7 @@
     item.finished = encoded.finished();
     item.timeToObjective = std::chrono::milliseconds(encoded.in_time_ms());
     if (item.waiting > 0) {
-      item.deadline = std::chrono::milliseconds(encoded.earliest_deadline_ms());
+      item.firstLeavesIn = std::chrono::milliseconds(encoded.earliest_deadline_ms());
     }
     demand.items.push_back(std::move(item));
   }
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -245,8 +245,8 @@
     }
     const Duration remaining_time =
       std::max(Duration::zero(), request->callerLeavesAt() - now);
-    item.deadline =
-      item.deadline ? std::min(*item.deadline, remaining_time) : remaining_time;
+    item.firstLeavesIn =
+      item.firstLeavesIn ? std::min(*item.firstLeavesIn, remaining_time) : remaining_time;
     item.timeToObjective = std::max(item.timeToObjective, request->objective() - now);
     ++item.waiting;
   }
--- a/src/gateway/tests/codectest.cpp
+++ b/src/gateway/tests/codectest.cpp
@@ -33,7 +33,7 @@
   item.inFlight = 3;
   item.arrivals = 4;
   item.finished = 6;
-  item.deadline = 1500ms;
+  item.firstLeavesIn = 1500ms;
   demand.items.push_back(item);
   demand.loads["u1"] = 5;
   demand.uptime = 2500ms;
@@ -42,7 +42,7 @@
   CHECK_TRUE(decoded.value().items[0].model == item.model);
   LONGS_EQUAL(3, decoded.value().items[0].inFlight);
   LONGS_EQUAL(6, decoded.value().items[0].finished);
-  CHECK_TRUE(*decoded.value().items[0].deadline == 1500ms);
+  CHECK_TRUE(*decoded.value().items[0].firstLeavesIn == 1500ms);
   LONGS_EQUAL(5, decoded.value().loads.at("u1"));
   CHECK_FALSE(decodeDemand("\xff\xff").has_value());
 }
--- a/src/serving/internal/placementchoice.cpp
+++ b/src/serving/internal/placementchoice.cpp
@@ -324,7 +324,7 @@
         has_copy,
         has_copy ? profile->second.diskLoadTime : profile->second.weightStoreLoadTime,
         demand.latestObjective,
-        demand.deadline });
+        demand.firstLeaves });
   }
   sortByPlacementOrder(waiting_models, aNow);
   for (const auto& item : waiting_models) {
--- a/src/serving/internal/placementplanner.cpp
+++ b/src/serving/internal/placementplanner.cpp
@@ -107,10 +107,10 @@
     const Instant objective = aReceivedAt + aItem.timeToObjective;
     aDemand.latestObjective =
       aDemand.latestObjective ? std::max(*aDemand.latestObjective, objective) : objective;
-    if (aItem.deadline) {
-      const Instant deadline = aReceivedAt + *aItem.deadline;
-      aDemand.deadline =
-        aDemand.deadline ? std::min(*aDemand.deadline, deadline) : deadline;
+    if (aItem.firstLeavesIn) {
+      const Instant leaves = aReceivedAt + *aItem.firstLeavesIn;
+      aDemand.firstLeaves =
+        aDemand.firstLeaves ? std::min(*aDemand.firstLeaves, leaves) : leaves;
     }
   }
   aDemand.waiting += aItem.waiting;
--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -127,7 +127,7 @@
   {
     std::uint32_t waiting = 0;
     std::uint32_t inFlight = 0;
-    std::optional<Instant> deadline;        // when the first waiting caller gives up
+    std::optional<Instant> firstLeaves;     // when the first waiting caller gives up
     std::optional<Instant> latestObjective; // of the waiting requests
   };
   struct HostDemand
--- a/src/serving/tests/enginesimulation.cpp
+++ b/src/serving/tests/enginesimulation.cpp
@@ -66,7 +66,7 @@
   item.model.adapter = slash == std::string::npos ? "" : aModel.substr(slash + 1);
   item.waiting = aCount;
   item.arrivals = aCount;
-  item.deadline = 10s;
+  item.firstLeavesIn = 10s;
   return item;
 }
 
--- a/src/serving/tests/placementplannertest.cpp
+++ b/src/serving/tests/placementplannertest.cpp
@@ -186,7 +186,7 @@
   simulation.run(1s);
   auto busy = EngineSimulation::inFlight("a", 8);
   busy.waiting = 20;
-  busy.deadline = 4s;
+  busy.firstLeavesIn = 4s;
   simulation.setDemand("h", { busy, EngineSimulation::waiting("rare") });
   simulation.run(11s);
   LONGS_EQUAL(2, simulation.replicasOf("a"));
@@ -327,8 +327,8 @@
   for (int at = 1; at < 8 && !time; ++at) {
     auto fresh = EngineSimulation::waiting("rare" + std::to_string(at));
     fresh.timeToObjective = 4s;
-    fresh.deadline = 20s;
-    late.deadline = std::max(Duration::zero(), patience - (simulation.now - start));
+    fresh.firstLeavesIn = 20s;
+    late.firstLeavesIn = std::max(Duration::zero(), patience - (simulation.now - start));
     simulation.setDemand("h", { late, fresh });
     simulation.run(2s);
     if (engine.models.contains("rare0")) {
--- a/src/serving/types/placement.h
+++ b/src/serving/types/placement.h
@@ -69,7 +69,7 @@
   std::uint32_t arrivals = 0; // since the host's previous report
   std::uint32_t finished = 0; // likewise, with a complete response
   /// Time until the first caller of a waiting request gives up.
-  std::optional<Duration> deadline;
+  std::optional<Duration> firstLeavesIn;
   /// Longest time left to a waiting request to meet its objective.
   Duration timeToObjective = Duration::zero();
 };
