Give tests ports that other sockets do not take

A gateway could not bind a port: `freePort` returned one of the ports that the kernel gives to any socket, another process took it before it was bound, and `value()` of the failed result ends the process.

Ruled out: the product; the same program passed alone, and five times beside each other. Shown: beside two processes that bind and release such ports, 3 of 3 runs of the group GatewayPair aborted (rc 134).

Change: free ports come from below the kernel's range, from a block for each process.

No check has changed.

--- a/src/testing/internal/scriptedpeer.cpp
+++ b/src/testing/internal/scriptedpeer.cpp
@@ -6,11 +6,19 @@
 #include <cerrno>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace savoryrill::testing {
 
 namespace {
 
+// Ports handed out to tests lie below those that the kernel gives to other sockets (from
+// 32768 on), which are taken and released all the time. Each process has a block of its
+// own, so that tests that run at the same time do not take each other's.
+constexpr std::uint32_t kFirstPort = 12000;
+constexpr std::uint32_t kPortsPerBlock = 100;
+constexpr std::uint32_t kPortBlocks = 200;
+
 std::uint16_t
 boundPort(int aFd)
 {
@@ -145,6 +153,15 @@
 std::uint16_t
 freePort()
 {
+  static std::uint32_t handed_out = 0;
+  const auto block = static_cast<std::uint32_t>(getpid()) % kPortBlocks;
+  for (std::uint32_t tries = 0; tries < kPortsPerBlock; ++tries) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + block * kPortsPerBlock +
+                                                 handed_out++ % kPortsPerBlock);
+    if (link::listenOn({ "127.0.0.1", port })) {
+      return port;
+    }
+  }
   const auto listener = std::move(link::listenOn({ "127.0.0.1", 0 }).value());
   return boundPort(listener.fd());
 }
--- a/src/testing/scriptedpeer.h
+++ b/src/testing/scriptedpeer.h
@@ -74,7 +74,8 @@
   std::vector<std::string> mRequests;
 };
 
-/// A free port of loopback; another process may take it before it is used.
+/// A free port of loopback. Another process takes it before it is used only if it has the
+/// same block of ports. Not thread safe.
 std::uint16_t
 freePort();
 
