--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -95,7 +95,8 @@
   const std::string& group() const { return mGroup; }
   std::uint32_t priority() const { return mRoute->priority; }
   Instant arrived() const { return mArrived; }
-  /// When the caller gives up if it receives nothing more until then.
+  /// When the caller gives up if it receives nothing more until then. Callers disconnect
+  /// after `callerTimeout` without an event of a stream.
   Instant callerLeavesAt() const
   {
     const Instant last = mStreamTimes.lastEvent().value_or(mArrived);
--- a/src/serving/tests/placementplannertest.cpp
+++ b/src/serving/tests/placementplannertest.cpp
@@ -321,14 +321,15 @@
   }
   simulation.run(2s);
   auto late = EngineSimulation::waiting("rare0");
-  const Duration patience = 8s;
+  const Duration caller_timeout = 8s;
   std::optional<Duration> time;
   const Instant start = simulation.now;
   for (int at = 1; at < 8 && !time; ++at) {
     auto fresh = EngineSimulation::waiting("rare" + std::to_string(at));
     fresh.timeToObjective = 4s;
     fresh.firstLeavesIn = 20s;
-    late.firstLeavesIn = std::max(Duration::zero(), patience - (simulation.now - start));
+    late.firstLeavesIn =
+      std::max(Duration::zero(), caller_timeout - (simulation.now - start));
     simulation.setDemand("h", { late, fresh });
     simulation.run(2s);
     if (engine.models.contains("rare0")) {
@@ -336,7 +337,7 @@
     }
   }
   CHECK_TRUE(time.has_value());
-  CHECK_TRUE(*time <= patience);
+  CHECK_TRUE(*time <= caller_timeout);
 }
 
 // Load pattern: a rare model whose checkpoint copies are on a loaded and on a quiet
