--- a/src/cli/internal/requestsummary.h
+++ b/src/cli/internal/requestsummary.h
@@ -14,12 +14,14 @@
 struct RouteSummary
 {
   std::string route;
-  std::uint64_t answered = 0;             // with an upstream's response
-  std::vector<std::int64_t> waitedMs;     // of these, until they were sent last
-  std::vector<std::int64_t> upstreamMs;   // of these, from there to the end
-  std::vector<std::int64_t> firstEventMs; // of streams sent once, from there to the first
-  std::vector<std::int64_t> longestPauseMs; // of streams sent once, between two events
-  std::uint64_t sentAgain = 0;              // of these, more than once
+  std::uint64_t answered = 0;           // with an upstream's response
+  std::vector<std::int64_t> waitedMs;   // of these, until they were sent last
+  std::vector<std::int64_t> upstreamMs; // of these, from there to the end
+  /// Of streams that were sent once: from the send to the first event, and the longest
+  /// time between two events.
+  std::vector<std::int64_t> firstEventMs;
+  std::vector<std::int64_t> longestPauseMs;
+  std::uint64_t sentAgain = 0;                  // of these, more than once
   std::map<std::string, std::uint64_t> refused; // by reason
   std::uint64_t cut = 0;                        // begun and not completed
   std::uint64_t callersLeft = 0;
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -179,7 +179,7 @@
   bool mStopping = false;
   bool mHandingOver = false; // releasing the lease to a suited host
   Instant mStarted;
-  bool mSuitedToLead;     // its link is fast enough
+  bool mSuitedToLead;     // the link of this host is fast enough for a leader
   std::string mSuccessor; // named by this host's release; empty: none
   std::optional<Instant> mLastPlan;
   bool mDemandPosted = false;
--- a/src/gateway/internal/peercodec.h
+++ b/src/gateway/internal/peercodec.h
@@ -35,7 +35,8 @@
   std::map<std::string, std::uint32_t> loads; // requests in progress, by upstream
   std::uint64_t reportNumber = 0;             // grows by 1 with each report
   std::uint64_t listVersion = 0;              // of the upstream list; 0: unknown
-  Duration uptime = Duration::zero();         // of the host's process
+  /// Of the host's process; zero if the host is not suited to lead.
+  Duration uptime = Duration::zero();
 };
 
 /// Changes of the upstream list that the leader sends to one host.
--- a/src/serving/internal/placementchoice.cpp
+++ b/src/serving/internal/placementchoice.cpp
@@ -24,9 +24,11 @@
 // Cost, in seconds, of unloading a model that was requested just now; falls to zero with
 // the time since.
 constexpr double kRecentlyUsedCost = 1.0;
-// Cost, in seconds, of each request in progress at the engine that would load a model:
-// all models of an engine share its batch.
-constexpr double kEngineRequestCost = 0.05;
+// Cost, in seconds, of loading a model at an engine whose batch, which all its models
+// share, is full; lower in proportion if fewer requests are in progress. As high as the
+// cost of a second replica in use, so that such a replica at a quiet engine is unloaded
+// rather than an idle model at a full one.
+constexpr double kFullBatchCost = kSecondReplicaCost;
 
 } // namespace
 
@@ -68,6 +70,15 @@
          kSurplusRequestCost * static_cast<double>(demand.inFlight);
 }
 
+double
+PlacementPlanner::batchShare(const EngineLedger& aEngine) const
+{
+  const auto load = mEngineLoads.find(aEngine.id());
+  return load == mEngineLoads.end()
+           ? 0.0
+           : static_cast<double>(load->second) / std::max(1U, mProfile.concurrency);
+}
+
 std::optional<PlacementPlanner::Candidate>
 PlacementPlanner::candidateAt(EngineLedger& aEngine,
                               const std::string& aModel,
@@ -78,9 +89,7 @@
     return std::nullopt;
   }
   Candidate candidate{ &aEngine, "", aEngine.loadTime(aModel), 0.0, 0.0 };
-  const auto load = mEngineLoads.find(aEngine.id());
-  const double load_cost =
-    load == mEngineLoads.end() ? 0.0 : kEngineRequestCost * load->second;
+  const double load_cost = kFullBatchCost * batchShare(aEngine);
   if (aEngine.fits(aModel)) {
     candidate.cost = toSeconds(candidate.readyIn) + load_cost;
     return candidate;
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -59,7 +59,8 @@
     /// as leader, such as those with slow links, have a longer one, so that others take
     /// the row first.
     Duration takeDelay = Duration::zero();
-    /// Additional wait before a released row that names another host as successor.
+    /// Additional wait before a released row is taken that names another host as
+    /// successor.
     Duration successorHeadStart = 600ms;
   };
 
@@ -143,7 +144,7 @@
   std::optional<std::uint64_t> mReleasedVersion;
   std::string mReleasedTo;       // successor named with `mReleasedVersion`
   std::string mSuccessor;        // to name when this host releases the row
-  std::string mSkippedSuccessor; // by the last take of this host
+  std::string mSkippedSuccessor; // see `skippedSuccessor`
   bool mInFlight = false;
   bool mReadNeeded = true;
   // True if the last read found the row of this process; its lease may have lapsed.
--- a/src/serving/placementplanner.h
+++ b/src/serving/placementplanner.h
@@ -173,6 +173,8 @@
                                        const std::string& aModel,
                                        bool aForFirstReplica,
                                        Instant aNow) const;
+  /// Requests in progress at an engine as a share of its concurrency.
+  double batchShare(const EngineLedger& aEngine) const;
   std::optional<Candidate> candidateAt(EngineLedger& aEngine,
                                        const std::string& aModel,
                                        Instant aNow) const;
@@ -215,7 +217,7 @@
   std::map<std::string, std::uint32_t> mSwapReplicas; // to be loaded by swaps, by model
   std::uint32_t mWeightStoreSwaps = 0;     // swaps that will load from the weight store
   std::map<std::string, Blocked> mBlocked; // models blocked at the last plan
-  std::vector<BlockedModel> mNewlyBlocked; // to be taken
+  std::vector<BlockedModel> mNewlyBlocked; // for `takeBlockedModels`
   double mSmallestModelMb = 0;
   Instant mNextPrefetch{};
   std::map<std::string, std::string> mSwaps; // model to load after an unload, by engine
