Log prompt parts and how far a response had come when an attempt fails

Callers saw streams cut and requests refused while engines crashed one after the other.

send-failed lines now have the ids of the prompt parts that requests share and whether nothing, the head or a part of the body had arrived; call-finished has the parts. No decision changes.

--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -34,6 +34,16 @@
 // total time divided by this is left, so that the caller can still retry elsewhere.
 constexpr int kUnknownDelayDivisor = 4;
 
+std::string
+joined(const std::vector<std::string>& aParts)
+{
+  std::string text;
+  for (const auto& part : aParts) {
+    text.append(text.empty() ? "" : ",").append(part);
+  }
+  return text;
+}
+
 std::string
 seriesOf(std::string_view aName, std::string_view aLabel, std::string_view aValue)
 {
@@ -182,6 +192,7 @@
     mDiscarding = false;
     mBufferedBody.clear();
     mHead = {};
+    mAttemptBodyStarted.reset();
     AttemptParameters parameters;
     parameters.upstream = entry->id;
     parameters.remaining = mDeadline - now;
@@ -306,6 +317,7 @@
     forwardEvents(aData);
     return;
   }
+  recordBodyOfAttempt();
   if (!mHeadForwarded) {
     mBufferedBody.append(aData);
     if (mBufferedBody.size() <= kMaxBufferedBytes) {
@@ -322,6 +334,14 @@
   }
 }
 
+void
+RequestTask::recordBodyOfAttempt()
+{
+  if (!mAttemptBodyStarted) {
+    mAttemptBodyStarted = mContext.loop.now();
+  }
+}
+
 void
 RequestTask::forwardEvents(std::string_view aData)
 {
@@ -329,12 +349,14 @@
     // The caller was sent the length, so the bytes are forwarded unchanged.
     mEventBytes += aData.size();
     mStreamTimes.recordEvents(mContext.loop.now());
+    recordBodyOfAttempt();
     mCaller->sendData(aData);
   } else {
     const auto events = mEvents.take(aData);
     mEventBytes += events.size();
     if (!events.empty()) {
       mStreamTimes.recordEvents(mContext.loop.now());
+      recordBodyOfAttempt();
     }
     mCaller->sendData(events);
     if (mEvents.eventTooLong()) {
@@ -489,6 +511,15 @@
   mOwner.onSlotFreed();
 }
 
+ResponseProgress
+RequestTask::progressOfAttempt() const
+{
+  if (mAttemptBodyStarted) {
+    return ResponseProgress::Body;
+  }
+  return mHead.status == 0 ? ResponseProgress::Nothing : ResponseProgress::Head;
+}
+
 void
 RequestTask::logAttemptFailure(std::string_view aReason)
 {
@@ -497,6 +528,8 @@
                      { { "call", mDetails.id },
                        { "upstream", mUpstream },
                        { "model", serving::toString(mDetails.model) },
+                       { "parts", joined(mDetails.sharedParts) },
+                       { "progress", nameOf(progressOfAttempt()) },
                        { "reason", aReason },
                        { "sends", std::int64_t{ mAttempts } },
                        { "after_ms", toMs(mContext.loop.now() - mAttemptStarted) } });
@@ -625,6 +658,7 @@
                        { "route", mRoute->name },
                        { "config", mRoutes->config().version },
                        { "model", serving::toString(mDetails.model) },
+                       { "parts", joined(mDetails.sharedParts) },
                        { "upstream", mUpstream },
                        { "status", std::int64_t{ aStatus } },
                        { "sends", std::int64_t{ mAttempts } },
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -15,6 +15,7 @@
 #include "gateway/internal/refusal.h"
 #include "gateway/internal/streamtimes.h"
 #include "gateway/iprotocol.h"
+#include "gateway/types/responseprogress.h"
 #include "gateway/upstreamselector.h"
 #include "link/inboundconnection.h"
 #include "link/outboundconnection.h"
@@ -134,6 +135,8 @@
   void forwardEvents(std::string_view aData);
   void sendBufferedResponse();
   void releaseConnection(bool aCancel);
+  ResponseProgress progressOfAttempt() const;
+  void recordBodyOfAttempt();
   void logAttemptFailure(std::string_view aReason);
   /// Ends the request with a refusal, or by aborting a response that has begun.
   void refuse(serving::RefusalReason aReason);
@@ -169,6 +172,8 @@
   bool mAdmitted = false; // to the queue, when the request first had to wait
   bool mCompleted = false;
   Instant mAttemptStarted{};
+  /// When the first event or part of a body arrived in the current attempt.
+  std::optional<Instant> mAttemptBodyStarted;
   std::int64_t mWaitedMs = 0;
 
   link::ResponseHead mHead;
--- a/src/serving/types/requestdetails.h
+++ b/src/serving/types/requestdetails.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/types/enumnames.h"
 #include "base/types/time.h"
@@ -20,7 +21,9 @@
   std::uint32_t promptTokens = 0;
   std::uint32_t outputTokens = 0; // maximum to generate
   std::string sharedPrefix;       // identifies a prompt prefix that other requests share
-  std::string resumeAfter;        // id of the caller's last event, empty: from the start
+  /// Ids of the prompt's parts that other requests may share, in order.
+  std::vector<std::string> sharedParts;
+  std::string resumeAfter; // id of the caller's last event, empty: from the start
 };
 
 /// Why a request ended without a usable response from an upstream.
