--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -5,6 +5,7 @@
 
 #include "base/types/baseevents.h"
 #include "gateway/internal/leadertask.h"
+#include "gateway/internal/quarantinetask.h"
 #include "gateway/internal/requestscheduler.h"
 #include "gateway/internal/statusserver.h"
 #include "gateway/internal/tablefollower.h"
@@ -50,11 +51,17 @@
     , mSelector(mSettings.dataCentre, mDependencies.seed)
     , mPool(mDependencies.loop, {})
     , mControlClient(mDependencies.loop, mPool)
+    , mQuarantine({ mDependencies.loop,
+                    mDependencies.log,
+                    mDependencies.metrics,
+                    mDependencies.store },
+                  mDependencies.seed)
     , mScheduler({ mDependencies.loop,
                    mDependencies.log,
                    mDependencies.metrics,
                    mDependencies.requestProtocol,
                    mSelector,
+                   mQuarantine,
                    mPool },
                  schedulerOptions(mSettings),
                  mDependencies.seed)
@@ -104,6 +111,7 @@
   UpstreamSelector mSelector;
   link::OutboundPool mPool;
   link::RequestClient mControlClient;
+  QuarantineTask mQuarantine;
   RequestScheduler mScheduler;
   std::unique_ptr<link::Listener> mCallerListener;
   std::unique_ptr<StatusServer> mReadinessServer;
@@ -146,6 +154,10 @@
     applyListUpdate(aUpdate, aAsOf);
   };
   handlers.onLeadershipChanged = [this](bool aLeads) { onLeadershipChanged(aLeads); };
+  handlers.promptEvidence = [this] { return mQuarantine.evidence(); };
+  handlers.onPromptEvidenceReceived = [this](const QuarantineTask::Evidence& aEvidence) {
+    return mQuarantine.merge(aEvidence);
+  };
   BOOST_OUTCOME_TRY(leader,
                     LeaderTask::create({ mDependencies.loop,
                                          mDependencies.log,
@@ -159,6 +171,10 @@
                                        std::move(handlers),
                                        mDependencies.seed));
   mLeader = std::move(leader);
+  mQuarantine.setShare([this](const QuarantineTask::Evidence& aEvidence) {
+    mLeader->sharePromptEvidence(aEvidence);
+  });
+  mQuarantine.start();
   mScheduler.setDemandCallback([this] { mLeader->onDemandIncreased(); });
   startFollowers();
   mTick = mDependencies.loop.every(kTickPeriod, [this] { tick(); });
@@ -292,6 +308,7 @@
 GatewayImpl::onLeadershipChanged(bool aLeads)
 {
   mLeading = aLeads;
+  mQuarantine.setLeading(aLeads);
   mUpstreamFollower->setPause(
     aLeads ? std::min(kLeaderUpstreamReadPause, ownUpstreamReadPause())
            : ownUpstreamReadPause());
--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -1,7 +1,10 @@
 #include "gateway/internal/leadertask.h"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 
+#include "gateway/internal/promptevidencecodec.h"
 #include "gateway/types/gatewayevents.h"
 #include "serving/successor.h"
 
@@ -18,6 +21,11 @@
 // Demand reports whose send times are kept, to match them with the leader's updates: some
 // seconds of reports.
 constexpr std::size_t kMaxReportTimes = 64;
+// Hosts to which each host connects while there is no leader. With three random ones,
+// news that is passed on reaches all hosts even if some are away.
+constexpr std::size_t kSubstitutes = 3;
+// The leader names them anew in this period, since hosts come and go.
+constexpr Duration kSubstitutesPeriod = 5s;
 // Minimum time between two messages with changed views, per receiving host.
 constexpr Duration kViewsPausePerHost = 1ms;
 
@@ -27,6 +35,7 @@
 LeaderTask::peerJoined(const transport::RemotePeer& aPeer)
 {
   mPeerHosts[aPeer.id].peer = aPeer;
+  sendPromptEvidence({ aPeer.id }, mHandlers.promptEvidence());
   if (mLeading) {
     mLastStatus.reset();
     publishReplicas();
@@ -53,6 +62,8 @@
         continue;
       }
       receiveDemand(aPeer, demand.value());
+    } else if (entry.kind() == peer::ENTRY_KIND_PROMPT) {
+      receivePromptEvidence(aPeer, entry.payload());
     }
   }
   if (!mLeading && mKnownLeader == aPeer.host) {
@@ -60,6 +71,82 @@
   }
 }
 
+void
+LeaderTask::sharePromptEvidence(const std::vector<serving::PartEvidence>& aEvidence)
+{
+  std::vector<std::uint64_t> peers;
+  for (const auto& [id, peer_host] : mPeerHosts) {
+    peers.push_back(id);
+  }
+  sendPromptEvidence(peers, aEvidence);
+}
+
+void
+LeaderTask::sendPromptEvidence(const std::vector<std::uint64_t>& aPeers,
+                               const std::vector<serving::PartEvidence>& aEvidence)
+{
+  if (aEvidence.empty() || aPeers.empty()) {
+    return;
+  }
+  peer::Delta delta;
+  auto* entry = delta.add_entries();
+  entry->set_kind(peer::ENTRY_KIND_PROMPT);
+  entry->set_key(mSettings.host);
+  entry->set_origin(mSettings.host);
+  entry->set_sequence(++mSequence);
+  entry->set_payload(encodePromptEvidence(aEvidence, mDependencies.loop.now()));
+  // A host that does not receive it gets all evidence with the next connection.
+  mPeers->send(aPeers, delta);
+}
+
+void
+LeaderTask::receivePromptEvidence(const transport::RemotePeer& aPeer,
+                                  const std::string& aPayload)
+{
+  const auto evidence = decodePromptEvidence(aPayload, mDependencies.loop.now());
+  if (!evidence) {
+    recordBadEntry(aPeer, evidence.error());
+    return;
+  }
+  const auto merged = mHandlers.onPromptEvidenceReceived(evidence.value());
+  std::vector<std::uint64_t> others;
+  for (const auto& [id, peer_host] : mPeerHosts) {
+    if (id != aPeer.id) {
+      others.push_back(id);
+    }
+  }
+  sendPromptEvidence(others, merged.changed);
+  sendPromptEvidence({ aPeer.id }, merged.newer);
+}
+
+void
+LeaderTask::receiveSubstitutes(const std::vector<std::string>& aEndpoints)
+{
+  if (!mSubstitutesInUse) {
+    mSubstitutes = aEndpoints;
+  }
+}
+
+void
+LeaderTask::addSubstitutes(peer::Delta& aDelta, std::uint64_t aPeerId)
+{
+  std::vector<std::string> others;
+  for (const auto& [id, peer_host] : mPeerHosts) {
+    if (id != aPeerId && !peer_host.peer.listensAt.empty()) {
+      others.push_back(peer_host.peer.listensAt);
+    }
+  }
+  std::vector<std::string> chosen;
+  std::ranges::sample(others, std::back_inserter(chosen), kSubstitutes, mRandom);
+  for (const auto& endpoint : chosen) {
+    auto* entry = aDelta.add_entries();
+    entry->set_kind(peer::ENTRY_KIND_MEMBER);
+    entry->set_key(endpoint);
+    entry->set_epoch(mLeadership.fencingNumber());
+    entry->set_sequence(++mSequence);
+  }
+}
+
 void
 LeaderTask::recordBadEntry(const transport::RemotePeer& aPeer, const Error& aError)
 {
@@ -109,7 +196,7 @@
   entry->set_sequence(++mSequence);
   entry->set_payload(encodeDemand(demand));
   for (const auto& [id, peer_host] : mPeerHosts) {
-    if (peer_host.peer.outgoing) {
+    if (peer_host.peer.outgoing && peer_host.peer.endpoint == mConnectedTo) {
       mPeers->send(id, delta);
     }
   }
@@ -161,8 +248,19 @@
                                  const peer::Delta& aDelta)
 {
   const auto now = mDependencies.loop.now();
+  std::vector<std::string> substitutes;
+  const bool from_leader = std::ranges::any_of(aDelta.entries(), [](const auto& aEntry) {
+    return aEntry.kind() != peer::ENTRY_KIND_PROMPT;
+  });
+  if (!from_leader) {
+    return; // news that any host may pass on
+  }
   mDependencies.selector.recordLeaderUpdate(now);
   for (const auto& entry : aDelta.entries()) {
+    if (entry.kind() == peer::ENTRY_KIND_MEMBER) {
+      substitutes.push_back(entry.key());
+      continue;
+    }
     if (entry.epoch() > mFollowedFencingNumber) {
       // Views of an earlier leader may be outdated; the new leader sends all of its
       // views.
@@ -196,6 +294,9 @@
       }
     }
   }
+  if (!substitutes.empty()) {
+    receiveSubstitutes(substitutes);
+  }
   mHandlers.onReplicasChanged();
 }
 
@@ -443,8 +544,17 @@
   for (const auto& [id, replicas] : mPublished) {
     engines.push_back(id);
   }
+  const auto now = mDependencies.loop.now();
+  const bool names_substitutes =
+    !mSubstitutesSent || now - *mSubstitutesSent >= kSubstitutesPeriod;
+  if (names_substitutes) {
+    mSubstitutesSent = now;
+  }
   for (auto& [id, peer_host] : mPeerHosts) {
     peer::Delta delta = common;
+    if (names_substitutes || peer_host.needsAllViews) {
+      addSubstitutes(delta, id);
+    }
     if (peer_host.needsAllViews) {
       addViews(delta, engines);
     }
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -29,6 +29,9 @@
 // that other hosts can read the row twice before.
 constexpr double kMinLeaderLinkMbps = 50;
 constexpr Duration kSlowLinkTakeDelay = 1s;
+// Time without a connection to a leader after which this host connects to other hosts. A
+// change of leaders mostly takes less.
+constexpr Duration kSubstitutesAfter = 1s;
 // Terms are random numbers from 1 up to this value.
 constexpr std::uint64_t kMaxTerm = 0xFFFFFFFFFFFFULL;
 
@@ -105,6 +108,7 @@
   , mHandlers(std::move(aHandlers))
   , mRandom(aSeed)
   , mLeadership(leadershipOptions(aSettings))
+  , mLastLeaderContact(aDependencies.loop.now())
   , mStarted(aDependencies.loop.now())
   , mSuitedToLead(!hasSlowLink(aSettings))
 {
@@ -204,6 +208,7 @@
 {
   stepLease();
   updateLeadership();
+  updateSubstitutes();
   const auto now = mDependencies.loop.now();
   if (!mLastDemandReport || now - *mLastDemandReport >= kDemandPeriod) {
     reportDemand();
@@ -346,7 +351,10 @@
   if (endpoint == mConnectedTo) {
     return;
   }
-  if (!mConnectedTo.empty()) {
+  const bool is_substitute =
+    mSubstitutesInUse &&
+    std::ranges::find(mSubstitutes, mConnectedTo) != mSubstitutes.end();
+  if (!mConnectedTo.empty() && !is_substitute) {
     mPeers->disconnect(mConnectedTo);
   }
   mConnectedTo = endpoint;
@@ -355,6 +363,40 @@
   }
 }
 
+bool
+LeaderTask::isConnectedToLeader() const
+{
+  return std::ranges::any_of(mPeerHosts, [&](const auto& aItem) {
+    const auto& peer = aItem.second.peer;
+    return peer.outgoing && peer.endpoint == mConnectedTo;
+  });
+}
+
+void
+LeaderTask::updateSubstitutes()
+{
+  const auto now = mDependencies.loop.now();
+  if (mLeading || isConnectedToLeader()) {
+    mLastLeaderContact = now;
+  }
+  const bool needed = now - mLastLeaderContact > kSubstitutesAfter;
+  if (needed == mSubstitutesInUse || (needed && mSubstitutes.empty())) {
+    return;
+  }
+  mSubstitutesInUse = needed;
+  mDependencies.log.write(kSubstitutesUsed,
+                          { { "used", needed ? "yes" : "no" },
+                            { "hosts", std::uint64_t{ mSubstitutes.size() } },
+                            { "without_leader_ms", toMs(now - mLastLeaderContact) } });
+  for (const auto& endpoint : mSubstitutes) {
+    if (needed) {
+      mPeers->connect(endpoint);
+    } else if (endpoint != mConnectedTo) {
+      mPeers->disconnect(endpoint);
+    }
+  }
+}
+
 void
 LeaderTask::planAfterPause()
 {
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -19,6 +19,7 @@
 #include "link/requestclient.h"
 #include "serving/leadership.h"
 #include "serving/placementplanner.h"
+#include "serving/promptquarantine.h"
 #include "serving/upstreamlistchanges.h"
 #include "transport/peernetwork.h"
 
@@ -63,6 +64,12 @@
       onUpstreamListReceived;
     /// This host has become the leader (true) or has stopped being it (false).
     std::function<void(bool)> onLeadershipChanged;
+    /// Returns the evidence against prompt parts that a newly connected host should have.
+    std::function<std::vector<serving::PartEvidence>()> promptEvidence;
+    /// Another host has sent evidence against prompt parts; returns what to send on.
+    std::function<serving::PromptQuarantine::MergeResult(
+      const std::vector<serving::PartEvidence>&)>
+      onPromptEvidenceReceived;
   };
 
   /// Fails with Unavailable if the peer address cannot be bound.
@@ -86,6 +93,8 @@
   void onDemandIncreased();
   /// Releases the lease, if this host holds it, and does not take it again.
   void releaseLeadership();
+  /// Sends evidence against prompt parts to all connected hosts, which pass it on.
+  void sharePromptEvidence(const std::vector<serving::PartEvidence>& aEvidence);
 
 private:
   LeaderTask(Dependencies aDependencies,
@@ -107,6 +116,17 @@
   void recordLeaseResult(serving::LeadershipStep aStep, const Error* aError);
   void recordBadEntry(const transport::RemotePeer& aPeer, const Error& aError);
   void connectToLeader();
+  bool isConnectedToLeader() const;
+  /// Connects to some other hosts while there is no leader, so that news still reaches
+  /// all of them.
+  void updateSubstitutes();
+  void receiveSubstitutes(const std::vector<std::string>& aEndpoints);
+  /// Tells a host to which others it should connect while there is no leader.
+  void addSubstitutes(peer::Delta& aDelta, std::uint64_t aPeerId);
+  void sendPromptEvidence(const std::vector<std::uint64_t>& aPeers,
+                          const std::vector<serving::PartEvidence>& aEvidence);
+  void receivePromptEvidence(const transport::RemotePeer& aPeer,
+                             const std::string& aPayload);
 
   void reportDemand();
   void receiveDemand(const transport::RemotePeer& aPeer, const HostDemand& aDemand);
@@ -173,6 +193,10 @@
   std::map<std::string, std::map<std::string, std::uint32_t>> mLoads; // by host, upstream
   std::map<std::string, std::uint32_t> mTotalLoads; // of all hosts, by upstream
   std::string mConnectedTo;
+  std::vector<std::string> mSubstitutes; // endpoints, named by the leader
+  bool mSubstitutesInUse = false;
+  Instant mLastLeaderContact;
+  std::optional<Instant> mSubstitutesSent;
   std::string mKnownLeader;
   bool mLeading = false;
   bool mListRead = false; // since this host became the leader
--- /dev/null
+++ b/src/gateway/internal/quarantinetask.cpp
@@ -0,0 +1,291 @@
+#include "gateway/internal/quarantinetask.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "gateway/internal/promptevidencecodec.h"
+#include "gateway/types/gatewayevents.h"
+
+namespace savoryrill::gateway {
+
+using serving::PromptQuarantine;
+
+namespace {
+
+constexpr const char* kQuarantineTable = "savoryrill-quarantine";
+constexpr const char* kQuarantineKey = "prompt-parts";
+constexpr Duration kTickPeriod = 500ms;
+// A process that has crashed refuses connections at once; an upstream that needs longer
+// to answer is not counted as crashed.
+constexpr Duration kCheckTimeout = 400ms;
+// Requests that break this long after an upstream was found to have crashed are counted
+// with that crash.
+constexpr Duration kSameCrash = 5s;
+// Bounds the memory if very many requests break at once.
+constexpr std::size_t kMaxSuspectsPerUpstream = 128;
+
+double
+randomShare(std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+std::int64_t
+wallMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+std::string
+upstreamsOf(const std::vector<serving::UpstreamCrash>& aCrashes)
+{
+  std::string text;
+  for (const auto& crash : aCrashes) {
+    text.append(text.empty() ? "" : ",").append(crash.upstream);
+  }
+  return text;
+}
+
+} // namespace
+
+QuarantineTask::QuarantineTask(Dependencies aDependencies, std::uint64_t aSeed)
+  : mDependencies(aDependencies)
+  , mQuarantine(randomShare(aSeed))
+  , mChecker(aDependencies.loop, kCheckTimeout)
+{
+}
+
+void
+QuarantineTask::start()
+{
+  mTimer = mDependencies.loop.every(kTickPeriod, [this] { tick(); });
+  readRow();
+}
+
+void
+QuarantineTask::setLeading(bool aLeading)
+{
+  mLeading = aLeading;
+  if (aLeading) {
+    // Another leader may have written the row since this host read it.
+    mRowKnown = false;
+    mRowOutdated = true;
+  }
+}
+
+void
+QuarantineTask::requestBroken(const serving::UpstreamEntry& aUpstream,
+                              PromptQuarantine::BrokenRequest aRequest)
+{
+  if (aRequest.parts.empty()) {
+    return;
+  }
+  const std::string upstream = aUpstream.id + "#" + std::to_string(aUpstream.bornMs);
+  auto& suspects = mSuspects[upstream];
+  suspects.last = mDependencies.loop.now();
+  if (suspects.crashed) {
+    recordCrash(upstream, aRequest);
+    return;
+  }
+  if (suspects.requests.size() < kMaxSuspectsPerUpstream) {
+    suspects.requests.push_back(std::move(aRequest));
+  }
+  if (!suspects.checking) {
+    suspects.checking = true;
+    mChecker.start(aUpstream.endpoint, [this, upstream](link::Reachability aResult) {
+      upstreamChecked(upstream, aResult);
+    });
+  }
+}
+
+void
+QuarantineTask::upstreamChecked(const std::string& aUpstream, link::Reachability aResult)
+{
+  auto& suspects = mSuspects[aUpstream];
+  suspects.checking = false;
+  const auto requests = std::exchange(suspects.requests, {});
+  mDependencies.log.write(kBreakChecked,
+                          { { "upstream", aUpstream },
+                            { "connections", nameOf(aResult) },
+                            { "requests", std::uint64_t{ requests.size() } } });
+  if (aResult != link::Reachability::Refuses) {
+    return; // only connections were reset, or the upstream cannot be reached
+  }
+  suspects.crashed = mDependencies.loop.now();
+  mDependencies.metrics.add("savoryrill_gateway_upstream_crashes_total");
+  for (const auto& request : requests) {
+    recordCrash(aUpstream, request);
+  }
+}
+
+void
+QuarantineTask::recordCrash(const std::string& aUpstream,
+                            const PromptQuarantine::BrokenRequest& aRequest)
+{
+  changed(mQuarantine.recordCrash(aUpstream, aRequest, mDependencies.loop.now()));
+}
+
+void
+QuarantineTask::requestServed(const std::vector<std::string>& aParts)
+{
+  if (!aParts.empty()) {
+    changed(mQuarantine.recordServed(aParts, mDependencies.loop.now()));
+  }
+}
+
+std::optional<PromptQuarantine::Refusal>
+QuarantineTask::check(const std::string& aRequest, const std::vector<std::string>& aParts)
+{
+  return mQuarantine.check(aRequest, aParts, mDependencies.loop.now());
+}
+
+QuarantineTask::Evidence
+QuarantineTask::evidence() const
+{
+  return mQuarantine.evidence(mDependencies.loop.now());
+}
+
+PromptQuarantine::MergeResult
+QuarantineTask::merge(const Evidence& aEvidence)
+{
+  auto result = mQuarantine.merge(aEvidence, mDependencies.loop.now());
+  logDecisions();
+  return result;
+}
+
+void
+QuarantineTask::changed(const Evidence& aEvidence)
+{
+  logDecisions();
+  if (!aEvidence.empty() && mShare) {
+    mShare(aEvidence);
+  }
+}
+
+void
+QuarantineTask::logDecisions()
+{
+  const auto decisions = mQuarantine.takeDecisions();
+  for (const auto& decision : decisions) {
+    mDependencies.log.write(kPromptDecision,
+                            { { "part", decision.part },
+                              { "decision", nameOf(decision.kind) },
+                              { "crashed", upstreamsOf(decision.crashes) },
+                              { "time_in_quarantine_ms", toMs(decision.time) } });
+  }
+  if (decisions.empty()) {
+    return;
+  }
+  const auto quarantined = mQuarantine.quarantined(mDependencies.loop.now());
+  mDependencies.metrics.set("savoryrill_gateway_quarantined_parts",
+                            static_cast<double>(quarantined.size()));
+  mRowOutdated = true;
+  writeRow();
+}
+
+void
+QuarantineTask::tick()
+{
+  const auto now = mDependencies.loop.now();
+  std::erase_if(mSuspects, [&](const auto& aItem) {
+    return !aItem.second.checking && now - aItem.second.last > kSameCrash;
+  });
+  mQuarantine.expire(now);
+  logDecisions();
+  if (!mRowRead) {
+    readRow();
+  } else {
+    writeRow();
+  }
+}
+
+void
+QuarantineTask::readRow()
+{
+  if (mCallInProgress) {
+    return;
+  }
+  mCallInProgress = true;
+  mDependencies.store.readRow(
+    kQuarantineTable, kQuarantineKey, [this](Result<std::optional<StoredRow>> aRow) {
+      mCallInProgress = false;
+      if (!aRow) {
+        recordStoreResult("read", &aRow.error());
+        return; // repeated by the next tick
+      }
+      recordStoreResult("read", nullptr);
+      mRowRead = true;
+      mRowKnown = true;
+      const auto& row = aRow.value();
+      mRowVersion = row ? row->version : 0;
+      if (!row) {
+        return;
+      }
+      const auto now = mDependencies.loop.now();
+      const auto evidence = decodePromptRow(row->value, now, wallMs());
+      if (!evidence) {
+        // The next write replaces it.
+        recordStoreResult("decode", &evidence.error());
+        return;
+      }
+      const auto merged = merge(evidence.value());
+      if (mShare && !merged.changed.empty()) {
+        mShare(merged.changed);
+      }
+    });
+}
+
+void
+QuarantineTask::writeRow()
+{
+  if (!mLeading || !mRowOutdated || mCallInProgress) {
+    return;
+  }
+  if (!mRowKnown) {
+    readRow();
+    return;
+  }
+  const auto now = mDependencies.loop.now();
+  const auto quarantined = mQuarantine.quarantined(now);
+  if (quarantined.empty() && mRowVersion == 0) {
+    mRowOutdated = false;
+    return;
+  }
+  mCallInProgress = true;
+  mRowOutdated = false;
+  mDependencies.store.writeRow(
+    kQuarantineTable,
+    { kQuarantineKey, encodePromptRow(quarantined, now, wallMs()), 0, false },
+    mRowVersion,
+    [this](Result<std::uint64_t> aVersion) {
+      mCallInProgress = false;
+      if (aVersion) {
+        mRowVersion = aVersion.value();
+        recordStoreResult("write", nullptr);
+        return;
+      }
+      // The row may have been written, by this host or another one, so it is read first.
+      recordStoreResult("write", &aVersion.error());
+      mRowKnown = false;
+      mRowOutdated = true;
+    });
+}
+
+void
+QuarantineTask::recordStoreResult(const char* aStep, const Error* aError)
+{
+  if (aError != nullptr && !mCallFailed) {
+    mDependencies.log.write(kQuarantineRowFailed,
+                            { { "step", aStep },
+                              { "error", nameOf(aError->code) },
+                              { "reason", aError->message } });
+  }
+  mCallFailed = aError != nullptr;
+}
+
+} // namespace savoryrill::gateway
--- /dev/null
+++ b/src/gateway/internal/quarantinetask.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/eventlog.h"
+#include "base/metrics.h"
+#include "event/loop.h"
+#include "gateway/irowstore.h"
+#include "link/connectioncheck.h"
+#include "serving/promptquarantine.h"
+#include "serving/types/upstreamentry.h"
+
+namespace savoryrill::gateway {
+
+/// Keeps requests away from upstreams if a part of their prompt crashes them. Decides
+/// with the other hosts (`serving::PromptQuarantine`), finds out whether an upstream that
+/// broke off has crashed, and keeps quarantined parts in a row of the store, from which a
+/// host reads them at its start. The leader of placement writes the row. Not thread safe.
+class QuarantineTask
+{
+public:
+  struct Dependencies
+  {
+    event::Loop& loop;
+    EventLog& log;
+    Metrics& metrics;
+    IRowStore& store;
+  };
+  using Evidence = std::vector<serving::PartEvidence>;
+  /// Sends evidence to all hosts that this one is connected with.
+  using Share = std::function<void(const Evidence&)>;
+
+  /// `aSeed` makes hosts end a quarantine at different times.
+  QuarantineTask(Dependencies aDependencies, std::uint64_t aSeed);
+
+  void setShare(Share aShare) { mShare = std::move(aShare); }
+  /// Begins to read the row.
+  void start();
+  /// Whether this host leads, and so writes the row.
+  void setLeading(bool aLeading);
+
+  /// A connection ended after a request had been sent and before its upstream had
+  /// evidently begun to answer it.
+  void requestBroken(const serving::UpstreamEntry& aUpstream,
+                     serving::PromptQuarantine::BrokenRequest aRequest);
+  /// An upstream answers a request, and has not crashed by it.
+  void requestServed(const std::vector<std::string>& aParts);
+  /// See `serving::PromptQuarantine::check`.
+  std::optional<serving::PromptQuarantine::Refusal> check(
+    const std::string& aRequest,
+    const std::vector<std::string>& aParts);
+
+  /// What a newly connected host should know.
+  Evidence evidence() const;
+  /// Applies evidence of another host; the result says what to send on.
+  serving::PromptQuarantine::MergeResult merge(const Evidence& aEvidence);
+
+private:
+  struct Suspects
+  {
+    std::vector<serving::PromptQuarantine::BrokenRequest> requests;
+    bool checking = false;
+    std::optional<Instant> crashed; // confirmed
+    Instant last{};                 // request that broke
+  };
+  void upstreamChecked(const std::string& aUpstream, link::Reachability aResult);
+  void recordCrash(const std::string& aUpstream,
+                   const serving::PromptQuarantine::BrokenRequest& aRequest);
+  void changed(const Evidence& aEvidence);
+  void logDecisions();
+  void tick();
+  void readRow();
+  void writeRow();
+  /// Logs the first failed call of an outage.
+  void recordStoreResult(const char* aStep, const Error* aError);
+
+  Dependencies mDependencies;
+  serving::PromptQuarantine mQuarantine;
+  link::ConnectionChecker mChecker;
+  Share mShare;
+  std::map<std::string, Suspects> mSuspects; // by incarnation of an upstream
+  event::Watch mTimer;
+  bool mLeading = false;
+  bool mCallInProgress = false;
+  bool mRowKnown = false; // its version is that of the last read or write
+  bool mRowRead = false;  // since the start
+  bool mRowOutdated = false;
+  bool mCallFailed = false; // the latest one; logged once per outage
+  std::uint64_t mRowVersion = 0;
+};
+
+} // namespace savoryrill::gateway
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -30,6 +30,9 @@
 constexpr Duration kMinServiceTime = 20ms;
 // Minimum time that an engine needs until the first event.
 constexpr Duration kMinFirstEventTime = 60ms;
+// An upstream that has sent parts of a response for this long is not crashed by the
+// request.
+constexpr Duration kServedAfter = 250ms;
 // A request that waits for a model of unknown load time is refused when less than its
 // total time divided by this is left, so that the caller can still retry elsewhere.
 constexpr int kUnknownDelayDivisor = 4;
@@ -140,7 +143,7 @@
     refuse(RefusalReason::NoUpstream);
     return;
   }
-  if (!startAttempt()) {
+  if (!refuseQuarantined() && !startAttempt()) {
     waitOrRefuse();
   }
 }
@@ -149,7 +152,7 @@
 RequestTask::sendIfPossible()
 {
   const auto self = shared_from_this();
-  if (mState == State::Waiting && !startAttempt()) {
+  if (mState == State::Waiting && !refuseQuarantined() && !startAttempt()) {
     waitOrRefuse();
   }
 }
@@ -163,6 +166,25 @@
   }
 }
 
+bool
+RequestTask::refuseQuarantined()
+{
+  const auto quarantined = mContext.quarantine.check(mDetails.id, mDetails.sharedParts);
+  if (quarantined) {
+    refuse(RefusalReason::PromptQuarantined, quarantined->remaining);
+  }
+  return quarantined.has_value();
+}
+
+void
+RequestTask::recordServed()
+{
+  if (!mServedRecorded) {
+    mServedRecorded = true;
+    mContext.quarantine.requestServed(mDetails.sharedParts);
+  }
+}
+
 bool
 RequestTask::startAttempt()
 {
@@ -193,6 +215,7 @@
     mBufferedBody.clear();
     mHead = {};
     mAttemptBodyStarted.reset();
+    mServedRecorded = false;
     AttemptParameters parameters;
     parameters.upstream = entry->id;
     parameters.remaining = mDeadline - now;
@@ -339,6 +362,8 @@
 {
   if (!mAttemptBodyStarted) {
     mAttemptBodyStarted = mContext.loop.now();
+  } else if (mContext.loop.now() - *mAttemptBodyStarted >= kServedAfter) {
+    recordServed();
   }
 }
 
@@ -415,6 +440,7 @@
     }
   } else {
     mContext.selector.recordSuccess(mUpstream);
+    recordServed();
   }
   if (mHeadForwarded) {
     if (mEvents.hasPartial()) {
@@ -452,6 +478,12 @@
   logAttemptFailure(nameOf(aFault));
   const bool may_have_run =
     aFault == link::ExchangeFault::Broken || aFault == link::ExchangeFault::Malformed;
+  if (aFault == link::ExchangeFault::Broken && !mServedRecorded) {
+    if (const auto* entry = mContext.selector.directory().find(mUpstream)) {
+      mContext.quarantine.requestBroken(
+        *entry, { mDetails.id, mDetails.model.model, mDetails.sharedParts });
+    }
+  }
   if (may_have_run) {
     ++mPossibleRuns;
     mMayHaveRun = true;
@@ -482,7 +514,7 @@
   if (allowed && in_time && mAttempts < kMaxAttempts &&
       mConnectionAttempts < kMaxConnectionAttempts &&
       (mAttempts == 0 || mOwner.takeRetry(mGroup))) {
-    if (startAttempt()) {
+    if (refuseQuarantined() || startAttempt()) {
       return;
     }
     if (mHeadForwarded) {
@@ -548,13 +580,13 @@
 }
 
 void
-RequestTask::refuse(RefusalReason aReason)
+RequestTask::refuse(RefusalReason aReason, std::optional<Duration> aRetryAfter)
 {
   if (mHeadForwarded) {
     abortResponse("the stream could not be resumed: " + std::string(nameOf(aReason)));
     return;
   }
-  const auto delay = expectedDelay();
+  const auto delay = aRetryAfter ? aRetryAfter : expectedDelay();
   const bool known = delay && *delay > Duration::zero();
   const auto refusal = refusalFor(aReason, mMayHaveRun, known ? delay : std::nullopt);
   mContext.metrics.add(
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -12,6 +12,7 @@
 #include "base/metrics.h"
 #include "event/loop.h"
 #include "gateway/internal/eventstream.h"
+#include "gateway/internal/quarantinetask.h"
 #include "gateway/internal/refusal.h"
 #include "gateway/internal/streamtimes.h"
 #include "gateway/iprotocol.h"
@@ -35,6 +36,7 @@
   Metrics& metrics;
   const IRequestProtocol& protocol;
   UpstreamSelector& selector;
+  QuarantineTask& quarantine;
   link::OutboundPool& pool;
 };
 
@@ -128,6 +130,10 @@
   /// unknown.
   std::optional<Duration> expectedDelay() const;
   bool startAttempt();
+  /// Refuses the request if a part of its prompt is in quarantine; true if so.
+  bool refuseQuarantined();
+  /// Tells the quarantine that the upstream has dealt with the request without crashing.
+  void recordServed();
   void waitOrRefuse();
   bool mayRetry() const;
   void retryOrFail(bool aMayHaveRun, serving::RefusalReason aReason);
@@ -139,7 +145,10 @@
   void recordBodyOfAttempt();
   void logAttemptFailure(std::string_view aReason);
   /// Ends the request with a refusal, or by aborting a response that has begun.
-  void refuse(serving::RefusalReason aReason);
+  /// `aRetryAfter`: when the caller may come back, if it is not the time until the model
+  /// is ready.
+  void refuse(serving::RefusalReason aReason,
+              std::optional<Duration> aRetryAfter = std::nullopt);
   void abortResponse(std::string_view aReason);
   void onCallerDisconnected();
   void end();
@@ -169,7 +178,8 @@
   std::uint32_t mAttempts = 0;           // without those whose connection failed
   std::uint32_t mConnectionAttempts = 0; // including failed connections
   bool mMayHaveRun = false;
-  bool mAdmitted = false; // to the queue, when the request first had to wait
+  bool mServedRecorded = false; // in the current attempt
+  bool mAdmitted = false;       // to the queue, when the request first had to wait
   bool mCompleted = false;
   Instant mAttemptStarted{};
   /// When the first event or part of a body arrived in the current attempt.
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -130,5 +130,29 @@
   "load-blocked",
   "No engine can load a model with waiting requests now; `obstacle` says why."
 };
+inline constexpr EventDefinition kBreakChecked{
+  4122,
+  Severity::Info,
+  "break-checked",
+  "An upstream broke requests off before it answered; `connections`: if it still listens."
+};
+inline constexpr EventDefinition kPromptDecision{
+  4123,
+  Severity::Warning,
+  "prompt-decision",
+  "A prompt part is quarantined or no longer suspected; `crashed` lists the upstreams."
+};
+inline constexpr EventDefinition kQuarantineRowFailed{
+  4124,
+  Severity::Warning,
+  "quarantine-row-failed",
+  "The row of quarantined prompt parts could not be used, the first time since a success."
+};
+inline constexpr EventDefinition kSubstitutesUsed{
+  4125,
+  Severity::Info,
+  "substitutes-used",
+  "This host exchanges news with a few others in place of a leader, or no longer does."
+};
 
 } // namespace savoryrill::gateway
--- /dev/null
+++ b/src/serving/internal/promptquarantine.cpp
@@ -0,0 +1,514 @@
+#include "serving/promptquarantine.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace savoryrill::serving {
+
+namespace {
+
+// Crashes after which a part is quarantined if no request with it has been served lately.
+constexpr std::size_t kCrashesToQuarantine = 3;
+// The same for a part that was served lately: it may only have been in use while
+// upstreams crashed for other reasons.
+constexpr std::size_t kCrashesToQuarantineServed = 6;
+// The same if all requests were for one model, which may be the cause itself.
+constexpr std::size_t kCrashesToQuarantineOneModel = 5;
+// Crashes closer to each other count once: a loss of power or of a network ends many
+// upstreams at the same moment, and says nothing about the requests that they had.
+constexpr Duration kCrashSeparation = 250ms;
+// A crash says nothing about parts that were served this shortly before.
+constexpr Duration kServedJustBefore = 1s;
+constexpr Duration kServedLately = 60s;
+constexpr Duration kEvidenceTime = std::chrono::minutes(5);
+// Time in quarantine, doubled each time that the part crashes an upstream right after it.
+constexpr Duration kFirstQuarantine = std::chrono::minutes(2);
+constexpr Duration kMaxQuarantine = std::chrono::hours(1);
+// Largest part of the quarantine by which hosts extend it by different amounts.
+constexpr double kMaxExpirySpread = 0.25;
+// Time for the result of a request that was let through after a quarantine.
+constexpr Duration kProbeTime = 10s;
+// Quarantines of hosts that end this close to each other count as the same.
+constexpr Duration kSameQuarantine = 2s;
+// Bounds of the memory.
+constexpr std::size_t kMaxParts = 512;
+constexpr std::size_t kMaxCrashesPerPart = 8;
+constexpr std::size_t kMaxServed = 8192;
+
+Duration
+scaled(Duration aDuration, double aFactor)
+{
+  return std::chrono::duration_cast<Duration>(aDuration * aFactor);
+}
+
+/// Crashes that count as separate ones. Precondition: ordered by time.
+std::size_t
+separateCrashes(const std::vector<UpstreamCrash>& aCrashes)
+{
+  std::size_t count = 0;
+  std::optional<Instant> last;
+  for (const auto& crash : aCrashes) {
+    if (!last || crash.at - *last >= kCrashSeparation) {
+      last = crash.at;
+      ++count;
+    }
+  }
+  return count;
+}
+
+bool
+addCrash(std::vector<UpstreamCrash>& aCrashes, const UpstreamCrash& aCrash)
+{
+  const bool known = std::ranges::any_of(
+    aCrashes, [&](const auto& aKnown) { return aKnown.upstream == aCrash.upstream; });
+  if (known) {
+    return false;
+  }
+  const auto later =
+    std::ranges::upper_bound(aCrashes, aCrash.at, {}, &UpstreamCrash::at);
+  aCrashes.insert(later, aCrash);
+  if (aCrashes.size() > kMaxCrashesPerPart) {
+    aCrashes.erase(aCrashes.begin());
+  }
+  return true;
+}
+
+std::uint32_t
+positionOf(const PartEvidence& aEvidence)
+{
+  std::uint32_t position = 0;
+  for (const auto& crash : aEvidence.crashes) {
+    position = std::max(position, crash.position);
+  }
+  return position;
+}
+
+} // namespace
+
+std::optional<Instant>
+PromptQuarantine::lastServed(const std::string& aPart) const
+{
+  const auto found = mServed.find(aPart);
+  return found == mServed.end() ? std::nullopt : std::optional(found->second);
+}
+
+Instant
+PromptQuarantine::endOfQuarantine(const PartEvidence& aEvidence) const
+{
+  return *aEvidence.quarantinedUntil +
+         scaled(aEvidence.quarantineTime, kMaxExpirySpread * mExpirySpread);
+}
+
+bool
+PromptQuarantine::inQuarantine(const PartEvidence& aEvidence, Instant aNow) const
+{
+  return aEvidence.quarantinedUntil && aNow < endOfQuarantine(aEvidence);
+}
+
+bool
+PromptQuarantine::isOnProbation(const PartEvidence& aEvidence, Instant aNow) const
+{
+  return aEvidence.quarantinedUntil && !inQuarantine(aEvidence, aNow) &&
+         aNow < endOfQuarantine(aEvidence) + aEvidence.quarantineTime;
+}
+
+bool
+PromptQuarantine::isOutdated(const PartEvidence& aEvidence, Instant aNow) const
+{
+  if (aEvidence.quarantinedUntil) {
+    return !inQuarantine(aEvidence, aNow) && !isOnProbation(aEvidence, aNow);
+  }
+  return aEvidence.crashes.empty() || aNow - aEvidence.crashes.back().at > kEvidenceTime;
+}
+
+bool
+PromptQuarantine::isExplained(const std::string& aUpstream,
+                              const std::string& aPart,
+                              Instant aNow) const
+{
+  return std::ranges::any_of(mParts, [&](const auto& aItem) {
+    const auto& [name, part] = aItem;
+    return name != aPart && inQuarantine(part.evidence, aNow) &&
+           std::ranges::any_of(part.evidence.crashes, [&](const auto& aCrash) {
+             return aCrash.upstream == aUpstream;
+           });
+  });
+}
+
+bool
+PromptQuarantine::isConvicted(const PartEvidence& aEvidence, Instant aNow) const
+{
+  if (aEvidence.crashes.empty() || inQuarantine(aEvidence, aNow)) {
+    return false;
+  }
+  if (isOnProbation(aEvidence, aNow)) {
+    return aEvidence.crashes.back().at >= *aEvidence.quarantinedUntil;
+  }
+  if (aEvidence.crashes.size() < kCrashesToQuarantine) {
+    return false;
+  }
+  std::set<std::string> requests;
+  std::set<std::string> models;
+  for (const auto& crash : aEvidence.crashes) {
+    requests.insert(crash.request);
+    models.insert(crash.model);
+  }
+  std::size_t needed = kCrashesToQuarantine;
+  if (models.size() < 2) {
+    needed = kCrashesToQuarantineOneModel;
+  }
+  const auto served = lastServed(aEvidence.part);
+  if (served && aEvidence.crashes.front().at - *served < kServedLately) {
+    needed = kCrashesToQuarantineServed;
+  }
+  // A single request that is sent again and again may crash upstreams by something else.
+  return requests.size() >= 2 && separateCrashes(aEvidence.crashes) >= needed;
+}
+
+PromptQuarantine::Part&
+PromptQuarantine::partFor(const std::string& aPart, Instant aNow)
+{
+  if (!mParts.contains(aPart) && mParts.size() >= kMaxParts) {
+    makeRoom(aNow);
+  }
+  auto& part = mParts[aPart];
+  part.evidence.part = aPart;
+  return part;
+}
+
+void
+PromptQuarantine::makeRoom(Instant aNow)
+{
+  // Parts in quarantine stay as long as there are others.
+  const auto rank = [&](const PartEvidence& aEvidence) {
+    const bool quarantined = inQuarantine(aEvidence, aNow);
+    const Instant latest = quarantined                 ? *aEvidence.quarantinedUntil
+                           : aEvidence.crashes.empty() ? Instant{}
+                                                       : aEvidence.crashes.back().at;
+    return std::pair(quarantined, latest);
+  };
+  const auto least = std::ranges::min_element(
+    mParts, {}, [&](const auto& aItem) { return rank(aItem.second.evidence); });
+  if (least->second.evidence.quarantinedUntil) {
+    mDecisions.push_back({ Decision::Kind::Expired, least->first, {}, {} });
+  }
+  mParts.erase(least);
+}
+
+std::vector<PartEvidence>
+PromptQuarantine::recordCrash(const std::string& aUpstream,
+                              const BrokenRequest& aRequest,
+                              Instant aNow)
+{
+  std::vector<std::string> changed;
+  for (std::uint32_t position = 0; position < aRequest.parts.size(); ++position) {
+    const auto& name = aRequest.parts[position];
+    const auto served = lastServed(name);
+    if ((served && aNow - *served < kServedJustBefore) ||
+        isExplained(aUpstream, name, aNow)) {
+      continue;
+    }
+    auto& part = partFor(name, aNow);
+    if (addCrash(part.evidence.crashes,
+                 { aUpstream, aRequest.id, aRequest.model, position, aNow })) {
+      changed.push_back(name);
+      if (inQuarantine(part.evidence, aNow)) {
+        dropExplainedCrashes(part.evidence, aNow);
+      }
+    }
+  }
+  std::ranges::copy(decide(aNow), std::back_inserter(changed));
+  std::vector<PartEvidence> evidence;
+  for (const auto& name : std::set(changed.begin(), changed.end())) {
+    if (const auto found = mParts.find(name); found != mParts.end()) {
+      evidence.push_back(found->second.evidence);
+      evidence.back().lastServed = lastServed(name);
+    }
+  }
+  return evidence;
+}
+
+std::vector<PartEvidence>
+PromptQuarantine::recordServed(const std::vector<std::string>& aParts, Instant aNow)
+{
+  std::vector<PartEvidence> changed;
+  for (const auto& name : aParts) {
+    rememberServed(name, aNow, aNow);
+    if (applyServed(name, aNow)) {
+      PartEvidence evidence;
+      evidence.part = name;
+      evidence.lastServed = aNow;
+      changed.push_back(std::move(evidence));
+    }
+  }
+  return changed;
+}
+
+void
+PromptQuarantine::rememberServed(const std::string& aPart, Instant aServed, Instant aNow)
+{
+  if (mServed.size() >= kMaxServed && !mServed.contains(aPart)) {
+    std::erase_if(mServed,
+                  [&](const auto& aItem) { return aNow - aItem.second > kServedLately; });
+    if (mServed.size() >= kMaxServed) {
+      mServed.clear();
+    }
+  }
+  auto& served = mServed[aPart];
+  served = std::max(served, aServed);
+}
+
+bool
+PromptQuarantine::applyServed(const std::string& aPart, Instant aServed)
+{
+  const auto found = mParts.find(aPart);
+  if (found == mParts.end()) {
+    return false;
+  }
+  auto& evidence = found->second.evidence;
+  if (evidence.quarantinedUntil &&
+      aServed < *evidence.quarantinedUntil - evidence.quarantineTime) {
+    return false; // served before the crashes that led to the quarantine
+  }
+  std::vector<UpstreamCrash> before;
+  std::erase_if(evidence.crashes, [&](const UpstreamCrash& aCrash) {
+    if (aCrash.at > aServed) {
+      return false;
+    }
+    before.push_back(aCrash);
+    return true;
+  });
+  const bool was_quarantined = evidence.quarantinedUntil.has_value();
+  evidence.quarantinedUntil.reset();
+  if (was_quarantined) {
+    mDecisions.push_back({ Decision::Kind::Served, aPart, before, {} });
+  }
+  if (evidence.crashes.empty()) {
+    mParts.erase(found);
+  }
+  return was_quarantined || !before.empty();
+}
+
+void
+PromptQuarantine::quarantine(Part& aPart, Instant aNow)
+{
+  auto& evidence = aPart.evidence;
+  evidence.quarantineTime =
+    evidence.quarantinedUntil
+      ? std::min<Duration>(evidence.quarantineTime * 2, kMaxQuarantine)
+      : Duration(kFirstQuarantine);
+  evidence.quarantinedUntil = aNow + evidence.quarantineTime;
+  aPart.probe.clear();
+  mDecisions.push_back({ Decision::Kind::Quarantined,
+                         evidence.part,
+                         evidence.crashes,
+                         evidence.quarantineTime });
+}
+
+void
+PromptQuarantine::dropExplainedCrashes(const PartEvidence& aQuarantined, Instant aNow)
+{
+  for (auto item = mParts.begin(); item != mParts.end();) {
+    auto& evidence = item->second.evidence;
+    if (evidence.part == aQuarantined.part || inQuarantine(evidence, aNow)) {
+      ++item;
+      continue;
+    }
+    std::erase_if(evidence.crashes, [&](const UpstreamCrash& aCrash) {
+      return std::ranges::any_of(aQuarantined.crashes, [&](const auto& aExplained) {
+        return aExplained.upstream == aCrash.upstream;
+      });
+    });
+    const bool empty = evidence.crashes.empty() && !evidence.quarantinedUntil;
+    item = empty ? mParts.erase(item) : std::next(item);
+  }
+}
+
+std::vector<std::string>
+PromptQuarantine::decide(Instant aNow)
+{
+  std::vector<std::string> quarantined;
+  while (true) {
+    // The part in most crashes explains them best. Of parts that always came together,
+    // the last one is the most specific, so that the fewest requests are refused.
+    Part* worst = nullptr;
+    for (auto& [name, part] : mParts) {
+      if (!isConvicted(part.evidence, aNow)) {
+        continue;
+      }
+      const auto rank = [](const PartEvidence& aEvidence) {
+        return std::pair(aEvidence.crashes.size(), positionOf(aEvidence));
+      };
+      if (worst == nullptr || rank(part.evidence) > rank(worst->evidence)) {
+        worst = &part;
+      }
+    }
+    if (worst == nullptr) {
+      return quarantined;
+    }
+    quarantine(*worst, aNow);
+    quarantined.push_back(worst->evidence.part);
+    const PartEvidence evidence = worst->evidence;
+    dropExplainedCrashes(evidence, aNow);
+  }
+}
+
+bool
+PromptQuarantine::mergeSuspicion(const PartEvidence& aEvidence, Instant aNow)
+{
+  const auto served = lastServed(aEvidence.part);
+  std::vector<UpstreamCrash> crashes = aEvidence.crashes;
+  std::erase_if(crashes, [&](const UpstreamCrash& aCrash) {
+    return (served && aCrash.at <= *served) ||
+           isExplained(aCrash.upstream, aEvidence.part, aNow);
+  });
+  const bool quarantined =
+    aEvidence.quarantinedUntil && !isOutdated(aEvidence, aNow) &&
+    (!served || *served < *aEvidence.quarantinedUntil - aEvidence.quarantineTime);
+  if (crashes.empty() && !quarantined) {
+    return false;
+  }
+  auto& part = partFor(aEvidence.part, aNow);
+  bool changed = false;
+  for (const auto& crash : crashes) {
+    changed = addCrash(part.evidence.crashes, crash) || changed;
+  }
+  auto& until = part.evidence.quarantinedUntil;
+  if (quarantined && (!until || *aEvidence.quarantinedUntil > *until + kSameQuarantine)) {
+    until = aEvidence.quarantinedUntil;
+    part.evidence.quarantineTime = aEvidence.quarantineTime;
+    part.probe.clear();
+    changed = true;
+    mDecisions.push_back({ Decision::Kind::Quarantined,
+                           aEvidence.part,
+                           part.evidence.crashes,
+                           *until - aNow });
+  }
+  if (changed && inQuarantine(part.evidence, aNow)) {
+    dropExplainedCrashes(PartEvidence(part.evidence), aNow);
+  }
+  return changed;
+}
+
+PromptQuarantine::MergeResult
+PromptQuarantine::merge(const std::vector<PartEvidence>& aEvidence, Instant aNow)
+{
+  MergeResult result;
+  std::set<std::string> changed;
+  for (const auto& evidence : aEvidence) {
+    const auto own = lastServed(evidence.part);
+    if (own &&
+        (!evidence.lastServed || *own > *evidence.lastServed + kServedJustBefore)) {
+      PartEvidence newer;
+      newer.part = evidence.part;
+      newer.lastServed = own;
+      result.newer.push_back(std::move(newer));
+    }
+    if (evidence.lastServed) {
+      rememberServed(evidence.part, *evidence.lastServed, aNow);
+      if (applyServed(evidence.part, *evidence.lastServed)) {
+        changed.insert(evidence.part);
+      }
+    }
+    if (mergeSuspicion(evidence, aNow)) {
+      changed.insert(evidence.part);
+    }
+  }
+  for (const auto& name : decide(aNow)) {
+    changed.insert(name);
+  }
+  for (const auto& name : changed) {
+    PartEvidence evidence;
+    if (const auto found = mParts.find(name); found != mParts.end()) {
+      evidence = found->second.evidence;
+    }
+    evidence.part = name;
+    evidence.lastServed = lastServed(name);
+    result.changed.push_back(std::move(evidence));
+  }
+  return result;
+}
+
+std::optional<PromptQuarantine::Refusal>
+PromptQuarantine::check(const std::string& aRequest,
+                        const std::vector<std::string>& aParts,
+                        Instant aNow)
+{
+  std::vector<Part*> probed;
+  for (const auto& name : aParts) {
+    const auto found = mParts.find(name);
+    if (found == mParts.end()) {
+      continue;
+    }
+    auto& part = found->second;
+    if (inQuarantine(part.evidence, aNow)) {
+      return Refusal{ name, endOfQuarantine(part.evidence) - aNow };
+    }
+    if (!isOnProbation(part.evidence, aNow) || part.probe == aRequest) {
+      continue;
+    }
+    if (!part.probe.empty() && aNow < part.probeUntil) {
+      return Refusal{ name, part.probeUntil - aNow };
+    }
+    probed.push_back(&part);
+  }
+  for (auto* part : probed) {
+    part->probe = aRequest;
+    part->probeUntil = aNow + kProbeTime;
+  }
+  return std::nullopt;
+}
+
+std::vector<PartEvidence>
+PromptQuarantine::evidence(Instant aNow) const
+{
+  std::vector<PartEvidence> all;
+  for (const auto& [name, part] : mParts) {
+    if (!isOutdated(part.evidence, aNow)) {
+      all.push_back(part.evidence);
+      all.back().lastServed = lastServed(name);
+    }
+  }
+  return all;
+}
+
+std::vector<PartEvidence>
+PromptQuarantine::quarantined(Instant aNow) const
+{
+  auto all = evidence(aNow);
+  std::erase_if(
+    all, [](const PartEvidence& aEvidence) { return !aEvidence.quarantinedUntil; });
+  return all;
+}
+
+std::vector<PromptQuarantine::Decision>
+PromptQuarantine::takeDecisions()
+{
+  return std::exchange(mDecisions, {});
+}
+
+void
+PromptQuarantine::expire(Instant aNow)
+{
+  for (auto item = mParts.begin(); item != mParts.end();) {
+    auto& evidence = item->second.evidence;
+    if (!evidence.quarantinedUntil) {
+      std::erase_if(evidence.crashes, [&](const UpstreamCrash& aCrash) {
+        return aNow - aCrash.at > kEvidenceTime;
+      });
+    }
+    if (!isOutdated(evidence, aNow)) {
+      ++item;
+      continue;
+    }
+    if (evidence.quarantinedUntil) {
+      mDecisions.push_back({ Decision::Kind::Expired, evidence.part, {}, {} });
+    }
+    item = mParts.erase(item);
+  }
+  std::erase_if(mServed,
+                [&](const auto& aItem) { return aNow - aItem.second > kServedLately; });
+}
+
+} // namespace savoryrill::serving
--- /dev/null
+++ b/src/serving/promptquarantine.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/types/enumnames.h"
+#include "base/types/time.h"
+#include "serving/types/promptevidence.h"
+
+namespace savoryrill::serving {
+
+/// Finds prompt parts that crash the upstreams that begin to answer them, and keeps
+/// requests with such a part away from upstreams for a while.
+///
+/// A part is quarantined after several crashes of upstreams that had a request with it,
+/// if no request with it was served in between. Hosts exchange what they know, since each
+/// of them sees only some of the crashes, and a part that any host has served is cleared.
+/// When a quarantine ends, one request at a time is let through: if its upstream crashes,
+/// a longer quarantine follows; if it is served, the part is cleared.
+///
+/// The evidence is merged like a set, so hosts may receive it in any order and more than
+/// once. All memory is bounded. Not thread safe; no I/O.
+class PromptQuarantine
+{
+public:
+  /// `aExpirySpread`, from 0 to 1, differs between hosts, so that they do not all let a
+  /// request through at the same time when a quarantine ends.
+  explicit PromptQuarantine(double aExpirySpread)
+    : mExpirySpread(aExpirySpread)
+  {
+  }
+
+  /// A request that an upstream had not begun to answer when it crashed.
+  struct BrokenRequest
+  {
+    std::string id;
+    std::string model;
+    std::vector<std::string> parts; // in the order of the prompt
+  };
+
+  /// Records the crash of `aUpstream`, which names one incarnation. Returns the evidence
+  /// that other hosts need.
+  std::vector<PartEvidence> recordCrash(const std::string& aUpstream,
+                                        const BrokenRequest& aRequest,
+                                        Instant aNow);
+
+  /// Records that an upstream has answered a request with these parts without crashing.
+  /// Returns the evidence that other hosts need.
+  std::vector<PartEvidence> recordServed(const std::vector<std::string>& aParts,
+                                         Instant aNow);
+
+  /// Evidence of another host merged into that of this host.
+  struct MergeResult
+  {
+    std::vector<PartEvidence> changed; // was new here, and may be to others
+    std::vector<PartEvidence> newer;   // what this host knows and the sender does not
+  };
+  MergeResult merge(const std::vector<PartEvidence>& aEvidence, Instant aNow);
+
+  /// Why a request must not be sent.
+  struct Refusal
+  {
+    std::string part;
+    Duration remaining{}; // until a request with the part may be let through
+  };
+
+  /// Decides whether a request may be sent; nullopt if it may. After a quarantine has
+  /// ended, lets through one request at a time. May be called again for a request.
+  std::optional<Refusal> check(const std::string& aRequest,
+                               const std::vector<std::string>& aParts,
+                               Instant aNow);
+
+  /// Everything worth telling a host that knows nothing.
+  std::vector<PartEvidence> evidence(Instant aNow) const;
+  /// The part of `evidence` that must outlast all hosts: parts in quarantine or shortly
+  /// after one.
+  std::vector<PartEvidence> quarantined(Instant aNow) const;
+
+  /// A change that the log should explain.
+  struct Decision
+  {
+    enum class Kind
+    {
+      Quarantined,
+      Served, // a request with the part was served, so it is no longer suspected
+      Expired // the evidence is too old
+    };
+    Kind kind = Kind::Quarantined;
+    std::string part;
+    std::vector<UpstreamCrash> crashes; // that decided it
+    Duration time{};                    // for which it is quarantined
+  };
+  /// Returns the decisions since the last call, oldest first.
+  std::vector<Decision> takeDecisions();
+
+  /// Drops evidence that is too old. Call it every few seconds.
+  void expire(Instant aNow);
+
+private:
+  struct Part
+  {
+    PartEvidence evidence;
+    // The request that was let through after a quarantine, and when the next one may be.
+    std::string probe;
+    Instant probeUntil{};
+  };
+  using Parts = std::map<std::string, Part>;
+
+  std::optional<Instant> lastServed(const std::string& aPart) const;
+  Part& partFor(const std::string& aPart, Instant aNow);
+  Instant endOfQuarantine(const PartEvidence& aEvidence) const;
+  bool inQuarantine(const PartEvidence& aEvidence, Instant aNow) const;
+  bool isOnProbation(const PartEvidence& aEvidence, Instant aNow) const;
+  bool isOutdated(const PartEvidence& aEvidence, Instant aNow) const;
+  /// True if another part that is in quarantine explains the crash.
+  bool isExplained(const std::string& aUpstream,
+                   const std::string& aPart,
+                   Instant aNow) const;
+  bool isConvicted(const PartEvidence& aEvidence, Instant aNow) const;
+  void quarantine(Part& aPart, Instant aNow);
+  /// Quarantines all parts against which there is enough evidence; returns their names.
+  std::vector<std::string> decide(Instant aNow);
+  /// Drops the crashes of a quarantined part from the evidence against other parts.
+  void dropExplainedCrashes(const PartEvidence& aQuarantined, Instant aNow);
+  /// Applies that a request with the part was served; true if that clears evidence.
+  bool applyServed(const std::string& aPart, Instant aServed);
+  /// Merges crashes and quarantine; true if something is new.
+  bool mergeSuspicion(const PartEvidence& aEvidence, Instant aNow);
+  void rememberServed(const std::string& aPart, Instant aServed, Instant aNow);
+  void makeRoom(Instant aNow);
+
+  double mExpirySpread;
+  Parts mParts;                                     // with evidence against them
+  std::unordered_map<std::string, Instant> mServed; // when each part was last served
+  std::vector<Decision> mDecisions;
+};
+
+} // namespace savoryrill::serving
+
+namespace savoryrill {
+
+template<>
+struct EnumNames<serving::PromptQuarantine::Decision::Kind>
+{
+  using Kind = serving::PromptQuarantine::Decision::Kind;
+  static constexpr EnumTable<Kind, 3> kTable{ {
+    { Kind::Quarantined, "quarantined" },
+    { Kind::Served, "served" },
+    { Kind::Expired, "expired" },
+  } };
+};
+
+} // namespace savoryrill
--- a/src/serving/types/requestdetails.h
+++ b/src/serving/types/requestdetails.h
@@ -39,8 +39,9 @@
   Overloaded,     // the backlog of its model takes longer than its objective
   DeadlinePassed, // it waited until the deadline or the route's timeout
   Stopping,
-  OutcomeUnknown, // it was sent to an upstream and may have run
-  UpstreamFailed  // the upstream's response was unusable
+  OutcomeUnknown,   // it was sent to an upstream and may have run
+  UpstreamFailed,   // the upstream's response was unusable
+  PromptQuarantined // a part of its prompt crashes upstreams
 };
 
 } // namespace savoryrill::serving
@@ -50,7 +51,7 @@
 template<>
 struct EnumNames<serving::RefusalReason>
 {
-  static constexpr EnumTable<serving::RefusalReason, 12> kTable{ {
+  static constexpr EnumTable<serving::RefusalReason, 13> kTable{ {
     { serving::RefusalReason::NoConfiguration, "no-configuration" },
     { serving::RefusalReason::NoRoute, "no-route" },
     { serving::RefusalReason::BadRequest, "bad-request" },
@@ -63,6 +64,7 @@
     { serving::RefusalReason::Stopping, "stopping" },
     { serving::RefusalReason::OutcomeUnknown, "outcome-unknown" },
     { serving::RefusalReason::UpstreamFailed, "upstream-failed" },
+    { serving::RefusalReason::PromptQuarantined, "prompt-quarantined" },
   } };
 };
 
--- a/src/testing/internal/scriptedpeer.cpp
+++ b/src/testing/internal/scriptedpeer.cpp
@@ -125,6 +125,16 @@
     mLoop.watch(mListener.fd(), { true, false }, [this](event::Interest) { accept(); });
 }
 
+void
+ScriptedPeer::crash()
+{
+  mWatch.reset();
+  mListener.close();
+  for (const auto& connection : mConnections) {
+    connection->reset();
+  }
+}
+
 void
 ScriptedPeer::accept()
 {
--- a/src/testing/scriptedpeer.h
+++ b/src/testing/scriptedpeer.h
@@ -60,6 +60,8 @@
   std::size_t connections() const { return mConnections.size(); }
   RawConnection& connection(std::size_t aIndex) { return *mConnections.at(aIndex); }
   void setAnswer(Answer aAnswer) { mAnswer = std::move(aAnswer); }
+  /// Resets all connections and refuses new ones, as if the process had crashed.
+  void crash();
 
 private:
   void accept();
--- a/src/transport/internal/peernetwork.cpp
+++ b/src/transport/internal/peernetwork.cpp
@@ -392,6 +392,7 @@
   peer.incarnation = aHello.incarnation();
   peer.outgoing = !aRoute.link->isBound();
   peer.endpoint = peer.outgoing ? aRoute.link->endpoint() : "";
+  peer.listensAt = aHello.endpoint();
   if (PeerConnection* known = findConnection(aRoute)) {
     const bool same = known->peer.role == peer.role && known->peer.host == peer.host &&
                       known->peer.dataCentre == peer.dataCentre &&
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -47,6 +47,7 @@
   std::uint64_t incarnation = 0;
   bool outgoing = false; // the local process opened the connection
   std::string endpoint;  // the endpoint connected to; empty if not `outgoing`
+  std::string listensAt; // where the peer accepts connections, as it says; may be empty
 };
 
 /// Receives the messages of peers and changes of their connections. The methods are
