Read what upstreams say of their limits and log it

The adapter now reads the limit, the pause that a refusal asks for and the announcement of a stop, and a change of the limit is logged. No decision changes.

--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -289,6 +289,7 @@
 RequestTask::responseStarted(const link::ResponseHead& aHead)
 {
   mHead = aHead;
+  recordRateLimit();
   const bool success = aHead.status / 100 == 2;
   // Not forwarded: a response that says that the upstream did not execute the request or
   // is not the intended one, a response without signature or this request's id, and a
@@ -306,6 +307,17 @@
   forwardHead();
 }
 
+void
+RequestTask::recordRateLimit()
+{
+  const auto& limit = mMetadata.rateLimit;
+  if (mContext.selector.setRateLimit(mUpstream, limit)) {
+    mContext.log.write(kUpstreamLimit,
+                       { { "upstream", mUpstream },
+                         { "per_second", limit ? std::to_string(*limit) : "-1" } });
+  }
+}
+
 void
 RequestTask::forwardHead()
 {
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -137,6 +137,7 @@
   void waitOrRefuse();
   bool mayRetry() const;
   void retryOrFail(bool aMayHaveRun, serving::RefusalReason aReason);
+  void recordRateLimit();
   void forwardHead();
   void forwardEvents(std::string_view aData);
   void sendBufferedResponse();
--- a/src/gateway/internal/upstreamselector.cpp
+++ b/src/gateway/internal/upstreamselector.cpp
@@ -342,6 +342,16 @@
   mStats[aUpstream].declinedUntil[aModel] = aNow + kDeclineBackoff;
 }
 
+bool
+UpstreamSelector::setRateLimit(const std::string& aUpstream,
+                               std::optional<double> aPerSecond)
+{
+  auto& known = mStats[aUpstream].rateLimit;
+  const bool changed = known != aPerSecond;
+  known = aPerSecond;
+  return changed;
+}
+
 std::uint32_t
 UpstreamSelector::inFlight(const std::string& aUpstream) const
 {
--- a/src/gateway/iprotocol.h
+++ b/src/gateway/iprotocol.h
@@ -30,6 +30,11 @@
   bool notExecuted = false;   // the upstream did not execute the request
   bool isSigned = false;      // the response carries the upstream's signature
   bool wrongUpstream = false; // an incarnation other than the intended one responded
+  bool leaving = false;       // the upstream is about to stop
+  /// Requests a second that the upstream takes, from all hosts together.
+  std::optional<double> rateLimit;
+  /// Time for which the upstream wants no request from this host.
+  std::optional<Duration> retryAfter;
 };
 
 /// Format of requests and responses between callers, this host and upstreams. Thread
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -154,5 +154,12 @@
   "substitutes-used",
   "This host exchanges news with a few others in place of a leader, or no longer does."
 };
+inline constexpr EventDefinition kUpstreamLimit{
+  4126,
+  Severity::Info,
+  "upstream-limit",
+  "An upstream named or changed the requests a second that it takes; -1: no limit any "
+  "more."
+};
 
 } // namespace savoryrill::gateway
--- a/src/gateway/upstreamselector.h
+++ b/src/gateway/upstreamselector.h
@@ -90,6 +90,10 @@
                      const serving::ModelKey& aModel,
                      Instant aNow);
 
+  /// Sets the requests a second that an upstream takes from all hosts together, as its
+  /// last response said; nullopt: no limit. Returns true if that is new.
+  bool setRateLimit(const std::string& aUpstream, std::optional<double> aPerSecond);
+
   std::uint32_t inFlight(const std::string& aUpstream) const;
   /// Drops all data about an upstream that has left the upstream list.
   void removeUpstream(const std::string& aUpstream);
@@ -101,6 +105,7 @@
     routing::CircuitBreaker circuit;
     double failureShare = 0; // exponential moving average, 0 to 1
     std::map<serving::ModelKey, Instant> declinedUntil;
+    std::optional<double> rateLimit; // requests a second, of all hosts
   };
   bool hasModel(const serving::UpstreamEntry& aEntry,
                 const serving::ModelKey& aModel,
