Keep evidence that spans time when upstreams crash fast

Cause: of the crashes with a part, the eight latest were kept. At ten and more a second these lie within half a second, and crashes within 250 ms count once, so that three separate ones were rarely among them. Of the same class is any count of separate events over a list that drops the oldest; no other such list exists.

Change: the crash that follows another one most closely is dropped instead. Test: PromptQuarantine CrashEvery50Ms_QuarantinedWithinASecond, failed before.

--- a/src/serving/internal/promptquarantine.cpp
+++ b/src/serving/internal/promptquarantine.cpp
@@ -57,6 +57,20 @@
   return count;
 }
 
+/// Drops the crash that follows another one most closely, so that the others still show
+/// over which time upstreams have crashed. Precondition: at least two, ordered by time.
+void
+dropLeastSeparate(std::vector<UpstreamCrash>& aCrashes)
+{
+  auto least = aCrashes.begin() + 1;
+  for (auto crash = least; crash != aCrashes.end(); ++crash) {
+    if (crash->at - (crash - 1)->at < least->at - (least - 1)->at) {
+      least = crash;
+    }
+  }
+  aCrashes.erase(least);
+}
+
 bool
 addCrash(std::vector<UpstreamCrash>& aCrashes, const UpstreamCrash& aCrash)
 {
@@ -69,7 +83,7 @@
     std::ranges::upper_bound(aCrashes, aCrash.at, {}, &UpstreamCrash::at);
   aCrashes.insert(later, aCrash);
   if (aCrashes.size() > kMaxCrashesPerPart) {
-    aCrashes.erase(aCrashes.begin());
+    dropLeastSeparate(aCrashes);
   }
   return true;
 }
--- a/src/serving/tests/promptquarantinetest.cpp
+++ b/src/serving/tests/promptquarantinetest.cpp
@@ -110,6 +110,18 @@
   CHECK_FALSE(isRefused({ "popular" }));
 }
 
+// Guards against upstreams of a large deployment that crash so fast that the evidence
+// holds only the last ones, which are close to each other.
+TEST(PromptQuarantine, CrashEvery50Ms_QuarantinedWithinASecond)
+{
+  for (int crashed = 0; crashed < 20; ++crashed) {
+    crash(quarantine, { kCommon, kDeadly });
+    now += 50ms;
+    quarantine.recordServed({ kCommon }, now);
+  }
+  CHECK_TRUE(isRefused({ kDeadly }));
+}
+
 // Guards against a quarantine when crashes follow each other and the part was just
 // served.
 TEST(PromptQuarantine, ServedShortlyBefore_NeedsMoreCrashes)
