Notice crashes that end a response without a length

A response without a length or chunks ends with its connection. If the upstream crashed as it began such a response and its connections were closed rather than reset, callers got an empty stream, framed as complete, and the crash counted as a served request, so that the part of the prompt was never quarantined.

Cause: the end of the connection was taken for the end of the response. Class: an absence of bytes read as a statement of the upstream.

Change: a stream without a length that ends before its first event, or any stream that ends inside an event, is broken off, and is resumed where the route allows. After any other response of this kind the quarantine checks whether the upstream still accepts connections: if it refuses them, that is a crash; if it accepts them, the request counts as served.

Tests: PromptQuarantineAcrossHosts ResponsesEndWithConnection and ResponsesEndAfterFirstEvent failed before (the part was let through a fourth time); SoundResponsesEndWithConnection guards the other side.

--- a/src/gateway/internal/quarantinetask.cpp
+++ b/src/gateway/internal/quarantinetask.cpp
@@ -79,8 +79,9 @@
 }
 
 void
-QuarantineTask::requestBroken(const serving::UpstreamEntry& aUpstream,
-                              PromptQuarantine::BrokenRequest aRequest)
+QuarantineTask::connectionEnded(const serving::UpstreamEntry& aUpstream,
+                                PromptQuarantine::BrokenRequest aRequest,
+                                Response aResponse)
 {
   if (aRequest.parts.empty()) {
     return;
@@ -93,7 +94,7 @@
     return;
   }
   if (suspects.requests.size() < kMaxSuspectsPerUpstream) {
-    suspects.requests.push_back(std::move(aRequest));
+    suspects.requests.push_back({ std::move(aRequest), aResponse });
   }
   if (!suspects.checking) {
     suspects.checking = true;
@@ -113,13 +114,20 @@
                           { { "upstream", aUpstream },
                             { "connections", nameOf(aResult) },
                             { "requests", std::uint64_t{ requests.size() } } });
+  if (aResult == link::Reachability::Accepts) {
+    for (const auto& suspect : requests) {
+      if (suspect.response == Response::PossiblyComplete) {
+        requestServed(suspect.request.parts);
+      }
+    }
+  }
   if (aResult != link::Reachability::Refuses) {
     return; // only connections were reset, or the upstream cannot be reached
   }
   suspects.crashed = mDependencies.loop.now();
   mDependencies.metrics.add("savoryrill_gateway_upstream_crashes_total");
-  for (const auto& request : requests) {
-    recordCrash(aUpstream, request);
+  for (const auto& suspect : requests) {
+    recordCrash(aUpstream, suspect.request);
   }
 }
 
--- a/src/gateway/internal/quarantinetask.h
+++ b/src/gateway/internal/quarantinetask.h
@@ -44,10 +44,17 @@
   /// Whether this host leads, and so writes the row.
   void setLeading(bool aLeading);
 
+  /// What the end of a connection says about the response.
+  enum class Response
+  {
+    BrokenOff,
+    PossiblyComplete // it has neither a length nor chunks, and ends with its connection
+  };
   /// A connection ended after a request had been sent and before its upstream had
-  /// evidently begun to answer it.
-  void requestBroken(const serving::UpstreamEntry& aUpstream,
-                     serving::PromptQuarantine::BrokenRequest aRequest);
+  /// evidently survived the beginning of the response. Finds out whether it has crashed.
+  void connectionEnded(const serving::UpstreamEntry& aUpstream,
+                       serving::PromptQuarantine::BrokenRequest aRequest,
+                       Response aResponse);
   /// An upstream answers a request, and has not crashed by it.
   void requestServed(const std::vector<std::string>& aParts);
   /// See `serving::PromptQuarantine::check`.
@@ -61,9 +68,14 @@
   serving::PromptQuarantine::MergeResult merge(const Evidence& aEvidence);
 
 private:
+  struct Suspect
+  {
+    serving::PromptQuarantine::BrokenRequest request;
+    Response response = Response::BrokenOff;
+  };
   struct Suspects
   {
-    std::vector<serving::PromptQuarantine::BrokenRequest> requests;
+    std::vector<Suspect> requests;
     bool checking = false;
     std::optional<Instant> crashed; // confirmed
     Instant last{};                 // request that broke
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -185,6 +185,25 @@
   }
 }
 
+void
+RequestTask::recordConnectionEnd(QuarantineTask::Response aResponse)
+{
+  const auto* entry = mContext.selector.directory().find(mUpstream);
+  if (!mServedRecorded && entry != nullptr) {
+    mContext.quarantine.connectionEnded(
+      *entry, { mDetails.id, mDetails.model.model, mDetails.sharedParts }, aResponse);
+  }
+}
+
+bool
+RequestTask::streamIsBrokenOff() const
+{
+  // Engines send at least one event, and end streams after whole ones.
+  return mStreaming &&
+         (mEvents.hasPartial() ||
+          (mHead.framing == link::Framing::UntilClose && !mAttemptBodyStarted));
+}
+
 bool
 RequestTask::startAttempt()
 {
@@ -423,6 +442,10 @@
     retryOrFail(mMayHaveRun, RefusalReason::NoUpstream);
     return;
   }
+  if (!mDiscarding && streamIsBrokenOff()) {
+    exchangeFailed(link::ExchangeFault::Broken);
+    return;
+  }
   ++mPossibleRuns;
   mMayHaveRun = true;
   if (mDiscarding) {
@@ -452,14 +475,13 @@
     }
   } else {
     mContext.selector.recordSuccess(mUpstream);
-    recordServed();
+    if (mHead.framing == link::Framing::UntilClose) {
+      recordConnectionEnd(QuarantineTask::Response::PossiblyComplete);
+    } else {
+      recordServed();
+    }
   }
   if (mHeadForwarded) {
-    if (mEvents.hasPartial()) {
-      // The upstream ended the stream although its last event is incomplete.
-      abortResponse("the upstream ended the stream within an event");
-      return;
-    }
     recordResponse(status);
     mCaller->finish();
     end();
@@ -490,11 +512,8 @@
   logAttemptFailure(nameOf(aFault));
   const bool may_have_run =
     aFault == link::ExchangeFault::Broken || aFault == link::ExchangeFault::Malformed;
-  if (aFault == link::ExchangeFault::Broken && !mServedRecorded) {
-    if (const auto* entry = mContext.selector.directory().find(mUpstream)) {
-      mContext.quarantine.requestBroken(
-        *entry, { mDetails.id, mDetails.model.model, mDetails.sharedParts });
-    }
+  if (aFault == link::ExchangeFault::Broken) {
+    recordConnectionEnd(QuarantineTask::Response::BrokenOff);
   }
   if (may_have_run) {
     ++mPossibleRuns;
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -134,6 +134,11 @@
   bool refuseQuarantined();
   /// Tells the quarantine that the upstream has dealt with the request without crashing.
   void recordServed();
+  /// Tells the quarantine that the connection of the attempt has ended, unless the
+  /// upstream had survived the beginning of the response before.
+  void recordConnectionEnd(QuarantineTask::Response aResponse);
+  /// True if the response is a stream that its upstream has ended before its end.
+  bool streamIsBrokenOff() const;
   void waitOrRefuse();
   bool mayRetry() const;
   void retryOrFail(bool aMayHaveRun, serving::RefusalReason aReason);
--- a/src/testing/internal/scriptedpeer.cpp
+++ b/src/testing/internal/scriptedpeer.cpp
@@ -128,13 +128,28 @@
 void
 ScriptedPeer::crash()
 {
-  mWatch.reset();
-  mListener.close();
+  stopListening();
   for (const auto& connection : mConnections) {
     connection->reset();
   }
 }
 
+void
+ScriptedPeer::exit()
+{
+  stopListening();
+  for (const auto& connection : mConnections) {
+    connection->close();
+  }
+}
+
+void
+ScriptedPeer::stopListening()
+{
+  mWatch.reset();
+  mListener.close();
+}
+
 void
 ScriptedPeer::accept()
 {
--- a/src/testing/scriptedpeer.h
+++ b/src/testing/scriptedpeer.h
@@ -62,8 +62,12 @@
   void setAnswer(Answer aAnswer) { mAnswer = std::move(aAnswer); }
   /// Resets all connections and refuses new ones, as if the process had crashed.
   void crash();
+  /// Ends all connections without a reset and refuses new ones, as when a process ends
+  /// that has read everything it was sent.
+  void exit();
 
 private:
+  void stopListening();
   void accept();
   void takeRequests(RawConnection& aConnection);
 
