Issue permits for upstreams that limit their rate

Cause: hosts sent by concurrency alone, and each saw only its own share of the requests. Class: a bound on a sum that is held by nobody who sees the sum.

Change: a request to such an upstream needs a permit. The leader issues permits at the rate that the upstream has named, to hosts in the order in which they ask; at most a second's worth is saved up. A host gives back what it has not used after 100 ms. The leader also tells hosts of limits that they have not seen, as after a restart. A leader that has lost its lease goes on with half of the rate, for hosts that have not heard of another one; a host that reaches none uses 0.8 of an equal share, and refuses a request at once if its next permit comes too late. A limit ends with the first response that does not name it; a host that has not heard of that learns it when it asks. Limits are forgotten after 10 s without requests at the leader, 60 s at a host. All memory is bounded. call-waits says how many upstreams lack only a permit, and upstream-limit who told of a limit.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -175,7 +175,10 @@
     mLeader->sharePromptEvidence(aEvidence);
   });
   mQuarantine.start();
-  mScheduler.setDemandCallback([this] { mLeader->onDemandIncreased(); });
+  mScheduler.setDemandCallback([this] {
+    mLeader->onDemandIncreased();
+    mLeader->onPermitWanted();
+  });
   startFollowers();
   mTick = mDependencies.loop.every(kTickPeriod, [this] { tick(); });
   return outcome::success();
@@ -460,6 +463,9 @@
   mSelector.directory().expire(mDependencies.loop.now(), changes);
   applyChanges(changes);
   mScheduler.sendWaiting();
+  if (mSelector.limits().wantsPermits()) {
+    mLeader->onPermitWanted();
+  }
   if (mDrainStarted) {
     continueDrain();
   }
--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -24,6 +24,10 @@
 // Hosts to which each host connects while there is no leader. With three random ones,
 // news that is passed on reaches all hosts even if some are away.
 constexpr std::size_t kSubstitutes = 3;
+// Hosts assumed to share the rate of an upstream until a leader has told their number.
+constexpr std::uint32_t kUnknownHostCount = 12;
+// Part of a rate that a host issues permits for when it has lost the lease.
+constexpr double kFormerLeaderShare = 0.5;
 // The leader names them anew in this period, since hosts come and go.
 constexpr Duration kSubstitutesPeriod = 5s;
 // Minimum time between two messages with changed views, per receiving host.
@@ -64,6 +68,8 @@
       receiveDemand(aPeer, demand.value());
     } else if (entry.kind() == peer::ENTRY_KIND_PROMPT) {
       receivePromptEvidence(aPeer, entry.payload());
+    } else if (entry.kind() == peer::ENTRY_KIND_PERMIT) {
+      receivePermits(aPeer, entry.payload());
     }
   }
   if (!mLeading && mKnownLeader == aPeer.host) {
@@ -119,6 +125,151 @@
   sendPromptEvidence({ aPeer.id }, merged.newer);
 }
 
+void
+LeaderTask::onPermitWanted()
+{
+  if (mPermitsPosted) {
+    return;
+  }
+  mPermitsPosted = true;
+  mDependencies.loop.post([this] {
+    mPermitsPosted = false;
+    exchangePermits();
+  });
+}
+
+void
+LeaderTask::exchangePermits()
+{
+  const auto now = mDependencies.loop.now();
+  auto& limits = mDependencies.selector.limits();
+  limits.expire(now);
+  const auto issuer = std::ranges::find_if(mPeerHosts, [&](const auto& aItem) {
+    const auto& peer = aItem.second.peer;
+    return peer.outgoing && peer.endpoint == mConnectedTo;
+  });
+  mDependencies.metrics.set("savoryrill_gateway_limited_upstreams",
+                            static_cast<double>(limits.count()));
+  PermitMessage message;
+  message.lifted = limits.takeLifted();
+  if (mLeading || issuer != mPeerHosts.end()) {
+    message.unused = limits.takeUnused(now);
+    message.asks = limits.takeAsks(now);
+  } else {
+    limits.earnAlone(mHostCount > 0 ? mHostCount : kUnknownHostCount, now);
+  }
+  if (mLeading) {
+    for (const auto& upstream : applyPermitRequests(mSettings.host, message)) {
+      recordLifted(upstream);
+    }
+  } else if (issuer != mPeerHosts.end()) {
+    sendPermits(issuer->first, message);
+  }
+  issuePermits();
+}
+
+std::vector<std::string>
+LeaderTask::applyPermitRequests(const std::string& aHost, const PermitMessage& aMessage)
+{
+  const auto now = mDependencies.loop.now();
+  for (const auto& upstream : aMessage.lifted) {
+    mPermitIssuer.lift(upstream, now);
+  }
+  for (const auto& unused : aMessage.unused) {
+    mPermitIssuer.giveBack(unused);
+  }
+  std::vector<std::string> lifted;
+  for (const auto& ask : aMessage.asks) {
+    if (!mPermitIssuer.ask(aHost, ask, now)) {
+      lifted.push_back(ask.upstream);
+    }
+  }
+  return lifted;
+}
+
+void
+LeaderTask::recordLifted(const std::string& aUpstream)
+{
+  if (mDependencies.selector.limits().lift(aUpstream, mDependencies.loop.now())) {
+    mDependencies.log.write(
+      kUpstreamLimit,
+      { { "upstream", aUpstream }, { "per_second", "-1" }, { "source", "other-host" } });
+  }
+}
+
+void
+LeaderTask::issuePermits()
+{
+  const auto now = mDependencies.loop.now();
+  // A former leader goes on for hosts that have not heard of another one, which may issue
+  // permits at the same time.
+  const double share = mLeading ? 1.0 : kFormerLeaderShare;
+  std::map<std::string, PermitMessage> messages;
+  bool granted = false;
+  for (const auto& issued : mPermitIssuer.issue(share, now)) {
+    mDependencies.metrics.add("savoryrill_gateway_permits_issued_total",
+                              issued.grant.count);
+    if (issued.host == mSettings.host) {
+      mDependencies.selector.limits().grant(issued.grant, now);
+      granted = true;
+    } else {
+      messages[issued.host].grants.push_back(issued.grant);
+    }
+  }
+  for (const auto& [id, peer_host] : mPeerHosts) {
+    if (const auto found = messages.find(peer_host.peer.host); found != messages.end()) {
+      sendPermits(id, found->second);
+      messages.erase(found);
+    }
+  }
+  if (granted) {
+    mHandlers.onReplicasChanged();
+  }
+}
+
+void
+LeaderTask::receivePermits(const transport::RemotePeer& aPeer,
+                           const std::string& aPayload)
+{
+  const auto message = decodePermits(aPayload);
+  if (!message) {
+    recordBadEntry(aPeer, message.error());
+    return;
+  }
+  const auto now = mDependencies.loop.now();
+  auto& limits = mDependencies.selector.limits();
+  PermitMessage answer;
+  answer.lifted = applyPermitRequests(aPeer.host, message.value());
+  sendPermits(aPeer.id, answer);
+  for (const auto& upstream : message.value().lifted) {
+    recordLifted(upstream);
+  }
+  for (const auto& grant : message.value().grants) {
+    limits.grant(grant, now);
+  }
+  issuePermits();
+  if (!message.value().grants.empty() || !message.value().lifted.empty()) {
+    mHandlers.onReplicasChanged();
+  }
+}
+
+void
+LeaderTask::sendPermits(std::uint64_t aPeerId, const PermitMessage& aMessage)
+{
+  if (aMessage.empty()) {
+    return;
+  }
+  peer::Delta delta;
+  auto* entry = delta.add_entries();
+  entry->set_kind(peer::ENTRY_KIND_PERMIT);
+  entry->set_key(mSettings.host);
+  entry->set_origin(mSettings.host);
+  entry->set_sequence(++mSequence);
+  entry->set_payload(encodePermits(aMessage));
+  // A message that is lost is repeated: hosts ask again.
+  mPeers->send(aPeerId, delta);
+}
+
 void
 LeaderTask::receiveSubstitutes(const std::vector<std::string>& aEndpoints)
 {
@@ -250,10 +401,11 @@
   const auto now = mDependencies.loop.now();
   std::vector<std::string> substitutes;
   const bool from_leader = std::ranges::any_of(aDelta.entries(), [](const auto& aEntry) {
-    return aEntry.kind() != peer::ENTRY_KIND_PROMPT;
+    return aEntry.kind() != peer::ENTRY_KIND_PROMPT &&
+           aEntry.kind() != peer::ENTRY_KIND_PERMIT;
   });
   if (!from_leader) {
-    return; // news that any host may pass on
+    return; // sent by hosts that do not lead, too
   }
   mDependencies.selector.recordLeaderUpdate(now);
   for (const auto& entry : aDelta.entries()) {
@@ -322,6 +474,8 @@
   mDependencies.selector.setReadyTimes(aStatus.readyTimes, aNow);
   mDependencies.selector.setBacklogs(aStatus.backlogs, aNow);
   mDependencies.selector.setLoads(aStatus.loads);
+  mDependencies.selector.limits().setReported(aStatus.limits, aNow);
+  mHostCount = aStatus.hostCount;
   mHandlers.onHostCountReceived(aStatus.hostCount);
   mHandlers.onConfigVersionReceived(aStatus.configVersion);
 }
@@ -440,6 +594,7 @@
   status.hostCount = mHostCount;
   addExpectedTimes(status);
   status.loads = mTotalLoads;
+  status.limits = mPermitIssuer.limits(mDependencies.loop.now());
   status.configVersion = mHandlers.configVersion();
   status.rowVersion = mLeadership.baseVersion();
   return status;
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -209,6 +209,7 @@
   stepLease();
   updateLeadership();
   updateSubstitutes();
+  exchangePermits();
   const auto now = mDependencies.loop.now();
   if (!mLastDemandReport || now - *mLastDemandReport >= kDemandPeriod) {
     reportDemand();
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -18,6 +18,7 @@
 #include "gateway/upstreamselector.h"
 #include "link/requestclient.h"
 #include "serving/leadership.h"
+#include "serving/permitissuer.h"
 #include "serving/placementplanner.h"
 #include "serving/promptquarantine.h"
 #include "serving/upstreamlistchanges.h"
@@ -89,6 +90,8 @@
   void onUpstreamListReadStarted();
   /// The upstream list was read; entries may have newer engine reports.
   void onUpstreamListRead();
+  /// A request waits for a permit; asks for it in the next iteration of the loop.
+  void onPermitWanted();
   /// There is new demand; reports it in the next iteration of the loop.
   void onDemandIncreased();
   /// Releases the lease, if this host holds it, and does not take it again.
@@ -127,6 +130,16 @@
                           const std::vector<serving::PartEvidence>& aEvidence);
   void receivePromptEvidence(const transport::RemotePeer& aPeer,
                              const std::string& aPayload);
+  /// Asks for permits that requests wait for, and issues those that others wait for.
+  void exchangePermits();
+  void receivePermits(const transport::RemotePeer& aPeer, const std::string& aPayload);
+  /// Applies what a host asks for and returns. Returns the upstreams of its asks that no
+  /// longer limit their rate.
+  std::vector<std::string> applyPermitRequests(const std::string& aHost,
+                                               const PermitMessage& aMessage);
+  void recordLifted(const std::string& aUpstream);
+  void issuePermits();
+  void sendPermits(std::uint64_t aPeerId, const PermitMessage& aMessage);
 
   void reportDemand();
   void receiveDemand(const transport::RemotePeer& aPeer, const HostDemand& aDemand);
@@ -192,6 +205,7 @@
   std::map<std::uint64_t, PeerHost> mPeerHosts;
   std::map<std::string, std::map<std::string, std::uint32_t>> mLoads; // by host, upstream
   std::map<std::string, std::uint32_t> mTotalLoads; // of all hosts, by upstream
+  serving::PermitIssuer mPermitIssuer;
   std::string mConnectedTo;
   std::vector<std::string> mSubstitutes; // endpoints, named by the leader
   bool mSubstitutesInUse = false;
@@ -207,6 +221,7 @@
   std::string mSuccessor; // named by this host's release; empty: none
   std::optional<Instant> mLastPlan;
   bool mDemandPosted = false;
+  bool mPermitsPosted = false;
   bool mLeaseRequestFailed = false; // the latest one; logged once per outage
   std::uint64_t mSequence = 0;
   std::uint64_t mLastReportNumber = 0;           // of the demand reports of this host
--- a/src/gateway/internal/peercodec.cpp
+++ b/src/gateway/internal/peercodec.cpp
@@ -1,6 +1,8 @@
 #include "gateway/internal/peercodec.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 #include <limits>
 
 #include "transport/proto/peer.pb.h"
@@ -11,6 +13,9 @@
 
 namespace {
 
+// More than any host asks for at once; bounds what a message can make this host do.
+constexpr std::uint32_t kMaxPermits = 64;
+
 std::uint32_t
 milliseconds(Duration aDuration)
 {
@@ -19,6 +24,12 @@
     std::clamp<std::int64_t>(toMs(aDuration), 0, kMaxMilliseconds));
 }
 
+bool
+isRate(double aPerSecond)
+{
+  return std::isfinite(aPerSecond) && aPerSecond >= 0;
+}
+
 peer::ReplicaState
 toMessage(ReplicaPhase aPhase)
 {
@@ -166,6 +177,11 @@
   content.set_row_version(aStatus.rowVersion);
   content.set_released(aStatus.released);
   content.set_successor(aStatus.successor);
+  for (const auto& [upstream, per_second] : aStatus.limits) {
+    auto* limit = content.add_limits();
+    limit->set_upstream(upstream);
+    limit->set_per_second(per_second);
+  }
   return content.SerializeAsString();
 }
 
@@ -195,9 +211,72 @@
   status.rowVersion = content.row_version();
   status.released = content.released();
   status.successor = content.successor();
+  for (const auto& limit : content.limits()) {
+    if (isRate(limit.per_second())) {
+      status.limits[limit.upstream()] = limit.per_second();
+    }
+  }
   return status;
 }
 
+std::string
+encodePermits(const PermitMessage& aMessage)
+{
+  peer::PermitContent content;
+  for (const auto& ask : aMessage.asks) {
+    auto* encoded = content.add_asks();
+    encoded->set_upstream(ask.upstream);
+    encoded->set_per_second(ask.perSecond);
+    if (ask.age) {
+      encoded->set_age_ms(milliseconds(*ask.age));
+    }
+  }
+  const auto add = [](const serving::PermitGrant& aGrant,
+                      peer::PermitContent::Grant& aEncoded) {
+    aEncoded.set_upstream(aGrant.upstream);
+    aEncoded.set_count(aGrant.count);
+  };
+  for (const auto& grant : aMessage.grants) {
+    add(grant, *content.add_grants());
+  }
+  for (const auto& unused : aMessage.unused) {
+    add(unused, *content.add_unused());
+  }
+  for (const auto& upstream : aMessage.lifted) {
+    content.add_lifted(upstream);
+  }
+  return content.SerializeAsString();
+}
+
+Result<PermitMessage>
+decodePermits(const std::string& aPayload)
+{
+  peer::PermitContent content;
+  if (!content.ParseFromString(aPayload)) {
+    return fail(ErrorCode::Malformed, "message on permits cannot be parsed");
+  }
+  PermitMessage message;
+  for (const auto& encoded : content.asks()) {
+    if (encoded.upstream().empty() || !isRate(encoded.per_second())) {
+      return fail(ErrorCode::Malformed,
+                  "message on permits asks without an upstream or a valid rate");
+    }
+    serving::PermitAsk ask{ encoded.upstream(), encoded.per_second(), std::nullopt };
+    if (encoded.has_age_ms()) {
+      ask.age = std::chrono::milliseconds(encoded.age_ms());
+    }
+    message.asks.push_back(std::move(ask));
+  }
+  const auto decoded = [](const peer::PermitContent::Grant& aEncoded) {
+    return serving::PermitGrant{ aEncoded.upstream(),
+                                 std::min(aEncoded.count(), kMaxPermits) };
+  };
+  std::ranges::transform(content.grants(), std::back_inserter(message.grants), decoded);
+  std::ranges::transform(content.unused(), std::back_inserter(message.unused), decoded);
+  message.lifted.assign(content.lifted().begin(), content.lifted().end());
+  return message;
+}
+
 std::string
 encodeListUpdate(const HostListUpdate& aUpdate)
 {
--- a/src/gateway/internal/peercodec.h
+++ b/src/gateway/internal/peercodec.h
@@ -8,6 +8,7 @@
 
 #include "base/result.h"
 #include "base/types/time.h"
+#include "serving/types/permits.h"
 #include "serving/types/placement.h"
 #include "serving/types/upstreamlistupdate.h"
 
@@ -26,6 +27,22 @@
   std::uint64_t rowVersion = 0;               // of the leader row
   bool released = false;                      // lease released, no more orders
   std::string successor; // with `released`: host to take the lease; empty: any
+  std::map<std::string, double> limits; // requests a second that upstreams take
+};
+
+/// What hosts tell each other about permits to send requests to upstreams that limit
+/// their rate.
+struct PermitMessage
+{
+  std::vector<serving::PermitAsk> asks;
+  std::vector<serving::PermitGrant> grants;
+  std::vector<serving::PermitGrant> unused; // that the host gives back
+  std::vector<std::string> lifted;          // upstreams that no longer limit their rate
+
+  bool empty() const
+  {
+    return asks.empty() && grants.empty() && unused.empty() && lifted.empty();
+  }
 };
 
 /// Demand report of a host to the leader.
@@ -65,6 +82,11 @@
 Result<LeaderStatus>
 decodeLeaderStatus(const std::string& aPayload);
 
+std::string
+encodePermits(const PermitMessage& aMessage);
+Result<PermitMessage>
+decodePermits(const std::string& aPayload);
+
 std::string
 encodeListUpdate(const HostListUpdate& aUpdate);
 Result<HostListUpdate>
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -289,10 +289,13 @@
       return;
     }
     mAdmitted = true;
-    mContext.log.write(kCallWaits,
-                       { { "call", mDetails.id },
-                         { "model", serving::toString(mDetails.model) },
-                         { "ready_in_ms", delay ? toMs(*delay) : -1 } });
+    mContext.log.write(
+      kCallWaits,
+      { { "call", mDetails.id },
+        { "model", serving::toString(mDetails.model) },
+        { "without_permit",
+          std::uint64_t{ mContext.selector.countWithoutPermit(query(), now) } },
+        { "ready_in_ms", delay ? toMs(*delay) : -1 } });
   }
   mOwner.onRequestWaiting(*this);
 }
@@ -330,10 +333,14 @@
 RequestTask::recordRateLimit()
 {
   const auto& limit = mMetadata.rateLimit;
-  if (mContext.selector.setRateLimit(mUpstream, limit)) {
+  if (!limit && !mMetadata.isSigned) {
+    return; // not necessarily a response of the upstream itself
+  }
+  if (mContext.selector.limits().setNamed(mUpstream, limit, mContext.loop.now())) {
     mContext.log.write(kUpstreamLimit,
                        { { "upstream", mUpstream },
-                         { "per_second", limit ? std::to_string(*limit) : "-1" } });
+                         { "per_second", limit ? std::to_string(*limit) : "-1" },
+                         { "source", "response" } });
   }
 }
 
--- a/src/gateway/internal/upstreamselector.cpp
+++ b/src/gateway/internal/upstreamselector.cpp
@@ -43,6 +43,7 @@
 UpstreamSelector::UpstreamSelector(std::string aDataCentre, std::uint64_t aSeed)
   : mDataCentre(std::move(aDataCentre))
   , mRandom(aSeed)
+  , mLimits(std::uniform_real_distribution<double>(0, 1)(mRandom))
   , mPolicy(routing::PowerOfTwoChoices{ kAffinitySlack })
 {
 }
@@ -240,12 +241,17 @@
 {
   std::vector<routing::Candidate> candidates;
   std::vector<routing::Candidate> suspects;
+  std::vector<std::string> without_permit;
   const auto prefix = mPrefixUpstream.find(aQuery.sharedPrefix);
   for (const auto* entry : upstreamsWithModel(aQuery.group->name, aQuery.model, aNow)) {
     if (!isUsable(*entry, aQuery, aNow)) {
       continue;
     }
     const auto& id = entry->id;
+    if (!mLimits.permits(id, aNow)) {
+      without_permit.push_back(id);
+      continue;
+    }
     const auto stats = mStats.find(id);
     routing::Candidate candidate;
     candidate.upstream = id;
@@ -267,6 +273,8 @@
   }
   const auto index = routing::choose(mPolicy, candidates, mRandom);
   if (!index) {
+    std::ranges::shuffle(without_permit, mRandom);
+    mLimits.want(without_permit, aNow);
     return std::nullopt;
   }
   const auto& chosen = candidates[*index].upstream;
@@ -282,8 +290,15 @@
 std::optional<Duration>
 UpstreamSelector::timeUntilReady(const Query& aQuery, Instant aNow) const
 {
-  if (!upstreamsWithModel(aQuery.group->name, aQuery.model, aNow).empty()) {
-    return Duration::zero();
+  const auto upstreams = upstreamsWithModel(aQuery.group->name, aQuery.model, aNow);
+  if (!upstreams.empty()) {
+    Duration shortest = Duration::max();
+    for (const auto* entry : upstreams) {
+      // The leader's backlog covers the wait for permits that it issues.
+      shortest = std::min(
+        shortest, mLimits.timeUntilPermit(entry->id, aNow).value_or(Duration::zero()));
+    }
+    return std::max(Duration::zero(), shortest);
   }
   const auto found = mReadyAt.find(aQuery.model.model);
   if (found == mReadyAt.end() || !leaderIsFresh(aNow)) {
@@ -292,6 +307,16 @@
   return std::max(Duration::zero(), found->second - aNow);
 }
 
+std::size_t
+UpstreamSelector::countWithoutPermit(const Query& aQuery, Instant aNow) const
+{
+  const auto upstreams = upstreamsWithModel(aQuery.group->name, aQuery.model, aNow);
+  return static_cast<std::size_t>(
+    std::ranges::count_if(upstreams, [&](const auto* aEntry) {
+      return isUsable(*aEntry, aQuery, aNow) && !mLimits.permits(aEntry->id, aNow);
+    }));
+}
+
 bool
 UpstreamSelector::anyUpstream(const std::string& aGroup) const
 {
@@ -303,6 +328,7 @@
 void
 UpstreamSelector::recordStart(const std::string& aUpstream, Instant aNow)
 {
+  mLimits.use(aUpstream, aNow);
   auto& stats = mStats[aUpstream];
   ++stats.inFlight;
   if (stats.circuit.allows(aNow)) {
@@ -342,16 +368,6 @@
   mStats[aUpstream].declinedUntil[aModel] = aNow + kDeclineBackoff;
 }
 
-bool
-UpstreamSelector::setRateLimit(const std::string& aUpstream,
-                               std::optional<double> aPerSecond)
-{
-  auto& known = mStats[aUpstream].rateLimit;
-  const bool changed = known != aPerSecond;
-  known = aPerSecond;
-  return changed;
-}
-
 std::uint32_t
 UpstreamSelector::inFlight(const std::string& aUpstream) const
 {
@@ -365,6 +381,7 @@
   removeFromIndex(aUpstream);
   mReplicas.erase(aUpstream);
   mStats.erase(aUpstream);
+  mLimits.remove(aUpstream);
 }
 
 } // namespace savoryrill::gateway
--- a/src/gateway/tests/codectest.cpp
+++ b/src/gateway/tests/codectest.cpp
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <cmath>
+
 #include "gateway/internal/eventstream.h"
 #include "gateway/internal/leaderrowcodec.h"
 #include "gateway/internal/peercodec.h"
@@ -108,6 +110,7 @@
   status.rowVersion = 12;
   status.released = true;
   status.successor = "b";
+  status.limits["u"] = 1.5;
   const auto decoded = decodeLeaderStatus(encodeLeaderStatus(status));
   LONGS_EQUAL(9, decoded.value().hostCount);
   CHECK_TRUE(decoded.value().readyTimes.at("m") == 2s);
@@ -115,6 +118,33 @@
   LONGS_EQUAL(12, decoded.value().rowVersion);
   CHECK_TRUE(decoded.value().released);
   STRCMP_EQUAL("b", decoded.value().successor.c_str());
+  DOUBLES_EQUAL(1.5, decoded.value().limits.at("u"), 0.001);
+}
+
+TEST(GatewayCodec, Permits_SurviveEncodingAndMalformedOnesFail)
+{
+  PermitMessage message;
+  message.asks = { { "a", 1.5, 250ms }, { "b", 0, std::nullopt } };
+  message.grants = { { "c", 2 } };
+  message.unused = { { "d", 1000000 } };
+  message.lifted = { "e" };
+  const auto decoded = decodePermits(encodePermits(message)).value();
+  LONGS_EQUAL(2, decoded.asks.size());
+  STRCMP_EQUAL("a", decoded.asks[0].upstream.c_str());
+  DOUBLES_EQUAL(1.5, decoded.asks[0].perSecond, 0.001);
+  CHECK_TRUE(decoded.asks[0].age == 250ms);
+  CHECK_FALSE(decoded.asks[1].age.has_value());
+  STRCMP_EQUAL("c", decoded.grants.at(0).upstream.c_str());
+  LONGS_EQUAL(2, decoded.grants.at(0).count);
+  CHECK_TRUE(decoded.unused.at(0).count < 1000); // more than a host can have
+  STRCMP_EQUAL("e", decoded.lifted.at(0).c_str());
+  CHECK_FALSE(decodePermits("\xff\xff").has_value());
+  for (const double rate : { -1.0, std::nan(""), HUGE_VAL }) {
+    message.asks = { { "a", rate, std::nullopt } };
+    CHECK_FALSE(decodePermits(encodePermits(message)).has_value());
+  }
+  message.asks = { { "", 1.0, std::nullopt } };
+  CHECK_FALSE(decodePermits(encodePermits(message)).has_value());
 }
 
 TEST(GatewayCodec, LeaderRow_SurvivesEncodingAndMalformedOneFails)
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -158,8 +158,8 @@
   4126,
   Severity::Info,
   "upstream-limit",
-  "An upstream named or changed the requests a second that it takes; -1: no limit any "
-  "more."
+  "An upstream limits the requests a second that it takes, or has changed the limit; -1: "
+  "no limit any more. `source` says whether this host's response or another host told."
 };
 
 } // namespace savoryrill::gateway
--- a/src/gateway/upstreamselector.h
+++ b/src/gateway/upstreamselector.h
@@ -15,6 +15,7 @@
 #include "serving/types/placement.h"
 #include "serving/types/servingconfig.h"
 #include "serving/upstreamdirectory.h"
+#include "serving/upstreamlimits.h"
 
 namespace savoryrill::gateway {
 
@@ -67,14 +68,18 @@
   /// Chooses an upstream that can run the request now; nullopt if there is none.
   std::optional<std::string> choose(const Query& aQuery, Instant aNow);
 
-  /// Expected time until an upstream has the model: zero if one has it, even without a
-  /// free slot; nullopt if unknown.
+  /// Expected time until an upstream has the model and, while no leader issues permits,
+  /// this host may send to it: zero if that is so now, even without a free slot; nullopt
+  /// if unknown.
   std::optional<Duration> timeUntilReady(const Query& aQuery, Instant aNow) const;
 
   /// Expected time until the backlog of a model whose replicas have no free slot is
   /// worked off; nullopt if the leader has not reported one recently.
   std::optional<Duration> backlogTime(const std::string& aModel, Instant aNow) const;
 
+  /// Number of upstreams that could run the request if this host had a permit.
+  std::size_t countWithoutPermit(const Query& aQuery, Instant aNow) const;
+
   /// True if the upstream list has an upstream of the group that is not leaving.
   bool anyUpstream(const std::string& aGroup) const;
 
@@ -90,9 +95,8 @@
                      const serving::ModelKey& aModel,
                      Instant aNow);
 
-  /// Sets the requests a second that an upstream takes from all hosts together, as its
-  /// last response said; nullopt: no limit. Returns true if that is new.
-  bool setRateLimit(const std::string& aUpstream, std::optional<double> aPerSecond);
+  /// The rates that upstreams take, and the permits to send requests to these.
+  serving::UpstreamLimits& limits() { return mLimits; }
 
   std::uint32_t inFlight(const std::string& aUpstream) const;
   /// Drops all data about an upstream that has left the upstream list.
@@ -105,7 +109,6 @@
     routing::CircuitBreaker circuit;
     double failureShare = 0; // exponential moving average, 0 to 1
     std::map<serving::ModelKey, Instant> declinedUntil;
-    std::optional<double> rateLimit; // requests a second, of all hosts
   };
   bool hasModel(const serving::UpstreamEntry& aEntry,
                 const serving::ModelKey& aModel,
@@ -139,6 +142,7 @@
   std::unordered_map<std::string, std::set<std::string>>
     mUpstreamsByModel; // ready replicas
   std::map<std::string, UpstreamStats> mStats;
+  serving::UpstreamLimits mLimits;
   std::map<std::string, Instant> mReadyAt;            // by model, from the leader
   std::map<std::string, Instant> mBacklogUntil;       // by model, from the leader
   std::map<std::string, std::uint32_t> mOtherLoads;   // of other hosts, by upstream
