Send nothing more to upstreams that say that they leave

The announcement was read and not used: a host went on sending until the list of upstreams said so, which some upstreams never do before they are removed from it.

Change: a response of the intended incarnation that belongs to the request marks the upstream as leaving at this host, with the same effects as an entry of the list, and the log line upstream-listed. A later incarnation under the same id is used again.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -179,6 +179,12 @@
     mLeader->onDemandIncreased();
     mLeader->onPermitWanted();
   });
+  mScheduler.setUpstreamLeavingCallback(
+    [this](const std::string& aUpstream, std::int64_t aBornMs) {
+      std::vector<serving::DirectoryChange> changes;
+      mSelector.directory().markLeaving(aUpstream, aBornMs, changes);
+      applyChanges(changes);
+    });
   startFollowers();
   mTick = mDependencies.loop.every(kTickPeriod, [this] { tick(); });
   return outcome::success();
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -202,6 +202,14 @@
   mRequests.erase(request);
 }
 
+void
+RequestScheduler::onUpstreamLeaving(const std::string& aUpstream, std::int64_t aBornMs)
+{
+  if (mUpstreamLeavingCallback) {
+    mUpstreamLeavingCallback(aUpstream, aBornMs);
+  }
+}
+
 void
 RequestScheduler::sendWaiting()
 {
--- a/src/gateway/internal/requestscheduler.h
+++ b/src/gateway/internal/requestscheduler.h
@@ -61,6 +61,15 @@
     mDemandCallback = std::move(aCallback);
   }
 
+  using UpstreamLeavingCallback =
+    std::function<void(const std::string& aUpstream, std::int64_t aBornMs)>;
+  /// Called when an incarnation of an upstream has said that it is about to stop, within
+  /// the handling of its response.
+  void setUpstreamLeavingCallback(UpstreamLeavingCallback aCallback)
+  {
+    mUpstreamLeavingCallback = std::move(aCallback);
+  }
+
 private:
   void requestReceived(const std::shared_ptr<link::InboundConnection>& aConnection,
                        link::RequestMessage aRequest) override;
@@ -71,6 +80,7 @@
   void onRequestWaiting(RequestTask& aRequest) override;
   void onSlotFreed() override;
   void onRequestEnded(RequestTask& aRequest) override;
+  void onUpstreamLeaving(const std::string& aUpstream, std::int64_t aBornMs) override;
   bool takeRetry(const std::string& aGroup) override;
   std::uint32_t hostCount() const override { return mHostCount; }
 
@@ -93,6 +103,7 @@
   std::map<serving::ModelKey, std::uint32_t> mArrivals; // since the last takeDemand
   std::map<serving::ModelKey, std::uint32_t> mFinished; // since the last takeDemand
   std::function<void()> mDemandCallback;
+  UpstreamLeavingCallback mUpstreamLeavingCallback;
   std::uint32_t mHostCount = 1;
   bool mDraining = false;
   bool mRefusesNew = false;
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -227,6 +227,7 @@
     ++mConnectionAttempts;
     mConnection = lease.connection;
     mUpstream = *chosen;
+    mUpstreamBornMs = entry->bornMs;
     mState = State::AwaitingResponse;
     mAttemptStarted = now;
     mWaitedMs = toMs(now - mArrived);
@@ -311,7 +312,7 @@
 RequestTask::responseStarted(const link::ResponseHead& aHead)
 {
   mHead = aHead;
-  recordRateLimit();
+  recordUpstreamState();
   const bool success = aHead.status / 100 == 2;
   // Not forwarded: a response that says that the upstream did not execute the request or
   // is not the intended one, a response without signature or this request's id, and a
@@ -329,6 +330,18 @@
   forwardHead();
 }
 
+void
+RequestTask::recordUpstreamState()
+{
+  if (mMetadata.wrongUpstream) {
+    return; // the response of another upstream
+  }
+  recordRateLimit();
+  if (mMetadata.leaving && mMetadata.requestId == mDetails.id) {
+    mOwner.onUpstreamLeaving(mUpstream, mUpstreamBornMs);
+  }
+}
+
 void
 RequestTask::recordRateLimit()
 {
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -50,6 +50,8 @@
   /// An attempt has ended, so its upstream may have a free slot.
   virtual void onSlotFreed() = 0;
   virtual void onRequestEnded(RequestTask& aRequest) = 0;
+  /// An incarnation of an upstream has said in a response that it is about to stop.
+  virtual void onUpstreamLeaving(const std::string& aUpstream, std::int64_t aBornMs) = 0;
   /// Takes one retry from this host's part of the budget that all hosts share; false if
   /// none is left.
   virtual bool takeRetry(const std::string& aGroup) = 0;
@@ -142,6 +144,8 @@
   void waitOrRefuse();
   bool mayRetry() const;
   void retryOrFail(bool aMayHaveRun, serving::RefusalReason aReason);
+  /// Records what the response says about its upstream, apart from the request.
+  void recordUpstreamState();
   void recordRateLimit();
   void forwardHead();
   void forwardEvents(std::string_view aData);
@@ -178,6 +182,7 @@
 
   std::shared_ptr<link::OutboundConnection> mConnection;
   std::string mUpstream;
+  std::int64_t mUpstreamBornMs = 0; // tells incarnations of the same id apart
   std::string mPoolKey;
   std::set<std::string> mExcluded;
   std::uint32_t mPossibleRuns = 0;       // attempts that may have been executed
--- a/src/serving/internal/upstreamdirectory.cpp
+++ b/src/serving/internal/upstreamdirectory.cpp
@@ -138,11 +138,15 @@
 }
 
 void
-UpstreamDirectory::markLeaving(const std::string& aId)
+UpstreamDirectory::markLeaving(const std::string& aId,
+                               std::int64_t aBornMs,
+                               std::vector<DirectoryChange>& aChanges)
 {
   const auto found = mEntries.find(aId);
-  if (found != mEntries.end()) {
+  if (found != mEntries.end() && found->second.bornMs == aBornMs &&
+      !found->second.leaving) {
     found->second.leaving = true;
+    aChanges.push_back({ Kind::Leaving, aId });
   }
 }
 
--- a/src/serving/tests/upstreamdirectorytest.cpp
+++ b/src/serving/tests/upstreamdirectorytest.cpp
@@ -54,6 +54,19 @@
   CHECK_TRUE(directory.find("u")->leaving);
 }
 
+// Guards against requests to an upstream that has said in a response that it leaves, and
+// against a late response of an earlier incarnation that says so.
+TEST(UpstreamDirectory, IncarnationSaysThatItLeaves_OnlyThatOneMarked)
+{
+  update(entry("u", 2, 1));
+  directory.markLeaving("u", 1, changes);
+  CHECK_FALSE(directory.find("u")->leaving);
+  directory.markLeaving("u", 2, changes);
+  CHECK_TRUE(changed(DirectoryChange::Kind::Leaving));
+  update(entry("u", 2, 2));
+  CHECK_TRUE(directory.find("u")->leaving);
+}
+
 TEST(UpstreamDirectory, NewIncarnationUnderSameId_ReplacesLeavingOne)
 {
   update(entry("u", 1, 5, true));
--- a/src/serving/upstreamdirectory.h
+++ b/src/serving/upstreamdirectory.h
@@ -63,8 +63,11 @@
   /// Removes entries that have been missing for `kReturnTime` since an outage.
   void expire(Instant aNow, std::vector<DirectoryChange>& aChanges);
 
-  /// Marks an upstream as leaving on information from elsewhere, such as its response.
-  void markLeaving(const std::string& aId);
+  /// Marks an incarnation of an upstream as leaving on information from elsewhere, such
+  /// as its response.
+  void markLeaving(const std::string& aId,
+                   std::int64_t aBornMs,
+                   std::vector<DirectoryChange>& aChanges);
 
   /// The entry, which may be leaving or missing since an outage, or null.
   const UpstreamEntry* find(const std::string& aId) const;
