Keep the pause that an upstream asks for when it refuses a request

The header was read and not used: a host came back after 150 ms.

Change: the host sends no request to that incarnation until the pause is over. If all upstreams that could run a request pause, or limit their rate while no leader issues permits, beyond its deadline, it is refused at once ('upstreams-not-taking', 503, not run) with the shortest of these times as Retry-After. The log line upstream-pause tells of each pause.

Tests: Gateway RefusalAsksForPause_NoRequestsUntilItsEnd (26 requests during the pause before, none now), AllUpstreamsAskForLongPause_RefusedAtOnce (waited to its deadline before).

--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -269,6 +269,11 @@
     refuse(RefusalReason::ModelNotInTime);
     return;
   }
+  const auto not_taken = mContext.selector.timeUntilTaken(query(), now);
+  if (not_taken + needed > remaining_time) {
+    refuse(RefusalReason::UpstreamsNotTaking, not_taken);
+    return;
+  }
   if (!delay && engine && mContext.selector.leaderIsUnavailable(now)) {
     // Load pattern: the store is unreachable, so no models are loaded and waiting is
     // useless.
@@ -337,6 +342,12 @@
     return; // the response of another upstream
   }
   recordRateLimit();
+  if (const auto pause = mMetadata.retryAfter) {
+    mContext.selector.recordPause(
+      mUpstream, mUpstreamBornMs, *pause, mContext.loop.now());
+    mContext.log.write(kUpstreamPause,
+                       { { "upstream", mUpstream }, { "pause_ms", toMs(*pause) } });
+  }
   if (mMetadata.leaving && mMetadata.requestId == mDetails.id) {
     mOwner.onUpstreamLeaving(mUpstream, mUpstreamBornMs);
   }
--- a/src/gateway/internal/upstreamselector.cpp
+++ b/src/gateway/internal/upstreamselector.cpp
@@ -215,6 +215,16 @@
   return found;
 }
 
+Duration
+UpstreamSelector::pauseOf(const serving::UpstreamEntry& aEntry, Instant aNow) const
+{
+  const auto found = mStats.find(aEntry.id);
+  if (found == mStats.end() || found->second.pausedBornMs != aEntry.bornMs) {
+    return Duration::zero();
+  }
+  return std::max(Duration::zero(), found->second.pausedUntil - aNow);
+}
+
 bool
 UpstreamSelector::isUsable(const serving::UpstreamEntry& aEntry,
                            const Query& aQuery,
@@ -232,7 +242,8 @@
   }
   const auto& stats = found->second;
   const auto declined = stats.declinedUntil.find(aQuery.model);
-  return stats.circuit.allows(aNow) && stats.inFlight + other_load < capacity &&
+  return pauseOf(aEntry, aNow) == Duration::zero() && stats.circuit.allows(aNow) &&
+         stats.inFlight + other_load < capacity &&
          (declined == stats.declinedUntil.end() || aNow >= declined->second);
 }
 
@@ -290,15 +301,8 @@
 std::optional<Duration>
 UpstreamSelector::timeUntilReady(const Query& aQuery, Instant aNow) const
 {
-  const auto upstreams = upstreamsWithModel(aQuery.group->name, aQuery.model, aNow);
-  if (!upstreams.empty()) {
-    Duration shortest = Duration::max();
-    for (const auto* entry : upstreams) {
-      // The leader's backlog covers the wait for permits that it issues.
-      shortest = std::min(
-        shortest, mLimits.timeUntilPermit(entry->id, aNow).value_or(Duration::zero()));
-    }
-    return std::max(Duration::zero(), shortest);
+  if (!upstreamsWithModel(aQuery.group->name, aQuery.model, aNow).empty()) {
+    return Duration::zero();
   }
   const auto found = mReadyAt.find(aQuery.model.model);
   if (found == mReadyAt.end() || !leaderIsFresh(aNow)) {
@@ -307,6 +311,19 @@
   return std::max(Duration::zero(), found->second - aNow);
 }
 
+Duration
+UpstreamSelector::timeUntilTaken(const Query& aQuery, Instant aNow) const
+{
+  std::optional<Duration> shortest;
+  for (const auto* entry : upstreamsWithModel(aQuery.group->name, aQuery.model, aNow)) {
+    const auto permit = mLimits.timeUntilPermit(entry->id, aNow);
+    const Duration time =
+      std::max(pauseOf(*entry, aNow), permit.value_or(Duration::zero()));
+    shortest = shortest ? std::min(*shortest, time) : time;
+  }
+  return shortest.value_or(Duration::zero());
+}
+
 std::size_t
 UpstreamSelector::countWithoutPermit(const Query& aQuery, Instant aNow) const
 {
@@ -368,6 +385,17 @@
   mStats[aUpstream].declinedUntil[aModel] = aNow + kDeclineBackoff;
 }
 
+void
+UpstreamSelector::recordPause(const std::string& aUpstream,
+                              std::int64_t aBornMs,
+                              Duration aTime,
+                              Instant aNow)
+{
+  auto& stats = mStats[aUpstream];
+  stats.pausedUntil = aNow + aTime;
+  stats.pausedBornMs = aBornMs;
+}
+
 std::uint32_t
 UpstreamSelector::inFlight(const std::string& aUpstream) const
 {
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -161,5 +161,11 @@
   "An upstream limits the requests a second that it takes, or has changed the limit; -1: "
   "no limit any more. `source` says whether this host's response or another host told."
 };
+inline constexpr EventDefinition kUpstreamPause{
+  4127,
+  Severity::Info,
+  "upstream-pause",
+  "An upstream refused a request and wants no other one from this host for `pause_ms`."
+};
 
 } // namespace savoryrill::gateway
--- a/src/gateway/upstreamselector.h
+++ b/src/gateway/upstreamselector.h
@@ -68,11 +68,15 @@
   /// Chooses an upstream that can run the request now; nullopt if there is none.
   std::optional<std::string> choose(const Query& aQuery, Instant aNow);
 
-  /// Expected time until an upstream has the model and, while no leader issues permits,
-  /// this host may send to it: zero if that is so now, even without a free slot; nullopt
-  /// if unknown.
+  /// Expected time until an upstream has the model: zero if one has it, even without a
+  /// free slot; nullopt if unknown.
   std::optional<Duration> timeUntilReady(const Query& aQuery, Instant aNow) const;
 
+  /// Time until an upstream that has the model takes a request from this host: after the
+  /// pause that it has asked for and, while no leader issues permits, with a permit. Zero
+  /// if unknown or if no upstream has the model.
+  Duration timeUntilTaken(const Query& aQuery, Instant aNow) const;
+
   /// Expected time until the backlog of a model whose replicas have no free slot is
   /// worked off; nullopt if the leader has not reported one recently.
   std::optional<Duration> backlogTime(const std::string& aModel, Instant aNow) const;
@@ -95,6 +99,12 @@
                      const serving::ModelKey& aModel,
                      Instant aNow);
 
+  /// Notes that an incarnation of an upstream wants no request from this host for a time.
+  void recordPause(const std::string& aUpstream,
+                   std::int64_t aBornMs,
+                   Duration aTime,
+                   Instant aNow);
+
   /// The rates that upstreams take, and the permits to send requests to these.
   serving::UpstreamLimits& limits() { return mLimits; }
 
@@ -109,6 +119,8 @@
     routing::CircuitBreaker circuit;
     double failureShare = 0; // exponential moving average, 0 to 1
     std::map<serving::ModelKey, Instant> declinedUntil;
+    Instant pausedUntil{}; // by the incarnation below
+    std::int64_t pausedBornMs = 0;
   };
   bool hasModel(const serving::UpstreamEntry& aEntry,
                 const serving::ModelKey& aModel,
@@ -128,6 +140,8 @@
     const serving::ModelKey& aModel,
     Instant aNow) const;
   void removeFromIndex(const std::string& aUpstream);
+  /// Time until the end of the pause that the upstream has asked this host for.
+  Duration pauseOf(const serving::UpstreamEntry& aEntry, Instant aNow) const;
   /// True if the upstream has a free slot and may be chosen for the request.
   /// Precondition: it holds the model.
   bool isUsable(const serving::UpstreamEntry& aEntry,
--- a/src/serving/types/requestdetails.h
+++ b/src/serving/types/requestdetails.h
@@ -39,9 +39,11 @@
   Overloaded,     // the backlog of its model takes longer than its objective
   DeadlinePassed, // it waited until the deadline or the route's timeout
   Stopping,
-  OutcomeUnknown,   // it was sent to an upstream and may have run
-  UpstreamFailed,   // the upstream's response was unusable
-  PromptQuarantined // a part of its prompt crashes upstreams
+  OutcomeUnknown,    // it was sent to an upstream and may have run
+  UpstreamFailed,    // the upstream's response was unusable
+  PromptQuarantined, // a part of its prompt crashes upstreams
+  UpstreamsNotTaking // all upstreams that could run it want no request from this host
+                     // before its deadline
 };
 
 } // namespace savoryrill::serving
@@ -51,7 +53,7 @@
 template<>
 struct EnumNames<serving::RefusalReason>
 {
-  static constexpr EnumTable<serving::RefusalReason, 13> kTable{ {
+  static constexpr EnumTable<serving::RefusalReason, 14> kTable{ {
     { serving::RefusalReason::NoConfiguration, "no-configuration" },
     { serving::RefusalReason::NoRoute, "no-route" },
     { serving::RefusalReason::BadRequest, "bad-request" },
@@ -65,6 +67,7 @@
     { serving::RefusalReason::OutcomeUnknown, "outcome-unknown" },
     { serving::RefusalReason::UpstreamFailed, "upstream-failed" },
     { serving::RefusalReason::PromptQuarantined, "prompt-quarantined" },
+    { serving::RefusalReason::UpstreamsNotTaking, "upstreams-not-taking" },
   } };
 };
 
