Do not take a repeated refusal for that of the current request

Report of another operator: a faulty upstream wrote an earlier refusal once more on a kept connection, and requests that ran were said not to have run, or ran twice.

Cause: a response without an id was taken for that of the current request, and one with its id also if it was a copy of the refusal of this request's earlier attempt on the same connection. Class: the identity of a message inferred from the connection that it came over.

Change: a response without an id counts only on a connection that has carried no other request. A request that an upstream has refused is sent to it again over a new connection. Other copies have the id of another request and were skipped before.

--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -219,13 +219,19 @@
     const std::size_t max_open = std::max<std::size_t>(
       2, profile->maxConnections / std::max(1U, mOwner.hostCount()));
     mPoolKey = entry->id + "#" + std::to_string(entry->bornMs);
-    const auto lease = mContext.pool.take(mPoolKey, entry->endpoint, max_open);
+    // A faulty upstream may send a refusal once more. On a new connection it cannot be
+    // that of this request's earlier attempt, which has the same id.
+    const auto source = mRefusedBy.contains(mPoolKey)
+                          ? link::OutboundPool::Source::OnlyNew
+                          : link::OutboundPool::Source::IdleOrNew;
+    const auto lease = mContext.pool.take(mPoolKey, entry->endpoint, max_open, source);
     if (!lease.connection) {
       mContext.selector.recordDecline(*chosen, mDetails.model, now);
       continue;
     }
     ++mConnectionAttempts;
     mConnection = lease.connection;
+    mConnectionReused = lease.reused;
     mUpstream = *chosen;
     mUpstreamBornMs = entry->bornMs;
     mState = State::AwaitingResponse;
@@ -310,7 +316,9 @@
 RequestTask::matchesResponse(const link::ResponseHead& aHead)
 {
   mMetadata = mContext.protocol.readMetadata(aHead);
-  return mMetadata.requestId.empty() || mMetadata.requestId == mDetails.id;
+  // Without an id, a response on a used connection may be that of an earlier request.
+  return mMetadata.requestId.empty() ? !mConnectionReused
+                                     : mMetadata.requestId == mDetails.id;
 }
 
 void
@@ -465,6 +473,7 @@
   releaseConnection(false);
   if (mMetadata.notExecuted || (mMetadata.wrongUpstream && status == 421)) {
     mContext.selector.recordDecline(mUpstream, mDetails.model, mContext.loop.now());
+    mRefusedBy.insert(mPoolKey);
     logAttemptFailure("the upstream did not execute the request, status " +
                       std::to_string(status));
     if (mMetadata.wrongUpstream) {
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -184,7 +184,9 @@
   std::string mUpstream;
   std::int64_t mUpstreamBornMs = 0; // tells incarnations of the same id apart
   std::string mPoolKey;
+  bool mConnectionReused = false; // it has carried an earlier request
   std::set<std::string> mExcluded;
+  std::set<std::string> mRefusedBy;      // upstreams that refused this request as not run
   std::uint32_t mPossibleRuns = 0;       // attempts that may have been executed
   std::uint32_t mAttempts = 0;           // without those whose connection failed
   std::uint32_t mConnectionAttempts = 0; // including failed connections
--- a/src/link/internal/outboundconnection.cpp
+++ b/src/link/internal/outboundconnection.cpp
@@ -372,10 +372,17 @@
 OutboundPool::PooledConnection
 OutboundPool::take(const std::string& aKey,
                    const Endpoint& aEndpoint,
-                   std::size_t aMaxConnections)
+                   std::size_t aMaxConnections,
+                   Source aSource)
 {
   auto& entry = mEntries[aKey];
-  while (!entry.idle.empty()) {
+  if (aSource == Source::OnlyNew && entry.open >= aMaxConnections &&
+      !entry.idle.empty()) {
+    entry.idle.back().connection->cancel();
+    entry.idle.pop_back();
+    --entry.open;
+  }
+  while (aSource == Source::IdleOrNew && !entry.idle.empty()) {
     // The most recently used connection first, so that the others can expire.
     auto idle = std::move(entry.idle.back());
     entry.idle.pop_back();
