Issue permits for all hosts that a former leader still serves

Change: a former leader issues permits for the part of the rate that equals the part of the hosts which are connected with it. Hosts that hear of another leader leave it, so that the sum of both exceeds the rate only in between.

--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -26,8 +26,6 @@
 constexpr std::size_t kSubstitutes = 3;
 // Hosts assumed to share the rate of an upstream until a leader has told their number.
 constexpr std::uint32_t kUnknownHostCount = 12;
-// Part of a rate that a host issues permits for when it has lost the lease.
-constexpr double kFormerLeaderShare = 0.5;
 // The leader names them anew in this period, since hosts come and go.
 constexpr Duration kSubstitutesPeriod = 5s;
 // Minimum time between two messages with changed views, per receiving host.
@@ -197,13 +195,22 @@
   }
 }
 
+double
+LeaderTask::shareOfConnectedHosts() const
+{
+  std::set<std::string> hosts{ mSettings.host };
+  for (const auto& [id, peer_host] : mPeerHosts) {
+    hosts.insert(peer_host.peer.host);
+  }
+  const auto connected = static_cast<double>(hosts.size());
+  return connected / std::max<double>(connected, mHostCount);
+}
+
 void
 LeaderTask::issuePermits()
 {
   const auto now = mDependencies.loop.now();
-  // A former leader goes on for hosts that have not heard of another one, which may issue
-  // permits at the same time.
-  const double share = mLeading ? 1.0 : kFormerLeaderShare;
+  const double share = mLeading ? 1.0 : shareOfConnectedHosts();
   std::map<std::string, PermitMessage> messages;
   bool granted = false;
   for (const auto& issued : mPermitIssuer.issue(share, now)) {
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -139,6 +139,9 @@
                                                const PermitMessage& aMessage);
   void recordLifted(const std::string& aUpstream);
   void issuePermits();
+  /// Part of all hosts that are still connected to this one. A former leader issues
+  /// permits for this part of the rates, since others may have heard of another leader.
+  double shareOfConnectedHosts() const;
   void sendPermits(std::uint64_t aPeerId, const PermitMessage& aMessage);
 
   void reportDemand();
