Exchange permits in a class of its own, and ask again at once

The exchange of permits was a part of LeaderTask, which also elects, plans and tells views. PermitExchange does it now; LeaderTask says in which role this host is, and carries its messages.

A host that had received a permit asked for the next one up to 50 ms later, with the next tick. It asks as soon as it has used the permit.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -100,6 +100,9 @@
   Duration ownUpstreamReadPause() const;
   void applyChanges(const std::vector<serving::DirectoryChange>& aChanges);
   std::optional<serving::UpstreamEntry> decodeUpstream(const StoredRow& aRow);
+  /// Sends waiting requests for which that is possible now, and asks for the permits that
+  /// others lack.
+  void sendWaiting();
   std::string readinessProblem() const;
   void logReadiness();
   void tick();
@@ -138,7 +141,7 @@
   BOOST_OUTCOME_TRY(startServers());
   LeaderTask::Handlers handlers;
   handlers.takeDemand = [this] { return mScheduler.takeDemand(); };
-  handlers.onReplicasChanged = [this] { mScheduler.sendWaiting(); };
+  handlers.onReplicasChanged = [this] { sendWaiting(); };
   handlers.onHostCountReceived = [this](std::uint32_t aHostCount) {
     mScheduler.setHostCount(aHostCount);
   };
@@ -406,7 +409,7 @@
 GatewayImpl::onUpstreamsChanged(const std::vector<serving::DirectoryChange>& aChanges)
 {
   applyChanges(aChanges);
-  mScheduler.sendWaiting();
+  sendWaiting();
   logReadiness();
 }
 
@@ -438,6 +441,15 @@
   }
 }
 
+void
+GatewayImpl::sendWaiting()
+{
+  mScheduler.sendWaiting();
+  if (mSelector.limits().wantsPermits()) {
+    mLeader->onPermitWanted();
+  }
+}
+
 std::string
 GatewayImpl::readinessProblem() const
 {
@@ -468,10 +480,7 @@
   std::vector<serving::DirectoryChange> changes;
   mSelector.directory().expire(mDependencies.loop.now(), changes);
   applyChanges(changes);
-  mScheduler.sendWaiting();
-  if (mSelector.limits().wantsPermits()) {
-    mLeader->onPermitWanted();
-  }
+  sendWaiting();
   if (mDrainStarted) {
     continueDrain();
   }
--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -139,99 +139,30 @@
 void
 LeaderTask::exchangePermits()
 {
-  const auto now = mDependencies.loop.now();
-  auto& limits = mDependencies.selector.limits();
-  limits.expire(now);
-  const auto issuer = std::ranges::find_if(mPeerHosts, [&](const auto& aItem) {
-    const auto& peer = aItem.second.peer;
-    return peer.outgoing && peer.endpoint == mConnectedTo;
-  });
-  mDependencies.metrics.set("savoryrill_gateway_limited_upstreams",
-                            static_cast<double>(limits.count()));
-  PermitMessage message;
-  message.lifted = limits.takeLifted();
-  if (mLeading || issuer != mPeerHosts.end()) {
-    message.unused = limits.takeUnused(now);
-    message.asks = limits.takeAsks(now);
-  } else {
-    limits.earnAlone(mHostCount > 0 ? mHostCount : kUnknownHostCount, now);
-  }
-  if (mLeading) {
-    for (const auto& upstream : applyPermitRequests(mSettings.host, message)) {
-      recordLifted(upstream);
-    }
-  } else if (issuer != mPeerHosts.end()) {
-    sendPermits(issuer->first, message);
-  }
-  issuePermits();
+  mPermits.exchange(permitRole());
 }
 
-std::vector<std::string>
-LeaderTask::applyPermitRequests(const std::string& aHost, const PermitMessage& aMessage)
+PermitExchange::Role
+LeaderTask::permitRole() const
 {
-  const auto now = mDependencies.loop.now();
-  for (const auto& upstream : aMessage.lifted) {
-    mPermitIssuer.lift(upstream, now);
-  }
-  for (const auto& unused : aMessage.unused) {
-    mPermitIssuer.giveBack(unused);
-  }
-  std::vector<std::string> lifted;
-  for (const auto& ask : aMessage.asks) {
-    if (!mPermitIssuer.ask(aHost, ask, now)) {
-      lifted.push_back(ask.upstream);
-    }
-  }
-  return lifted;
-}
-
-void
-LeaderTask::recordLifted(const std::string& aUpstream)
-{
-  if (mDependencies.selector.limits().lift(aUpstream, mDependencies.loop.now())) {
-    mDependencies.log.write(
-      kUpstreamLimit,
-      { { "upstream", aUpstream }, { "per_second", "-1" }, { "source", "other-host" } });
-  }
-}
-
-double
-LeaderTask::shareOfConnectedHosts() const
-{
-  std::set<std::string> hosts{ mSettings.host };
-  for (const auto& [id, peer_host] : mPeerHosts) {
-    hosts.insert(peer_host.peer.host);
-  }
-  const auto connected = static_cast<double>(hosts.size());
-  return connected / std::max<double>(connected, mHostCount);
-}
-
-void
-LeaderTask::issuePermits()
-{
-  const auto now = mDependencies.loop.now();
-  const double share = mLeading ? 1.0 : shareOfConnectedHosts();
-  std::map<std::string, PermitMessage> messages;
-  bool granted = false;
-  for (const auto& issued : mPermitIssuer.issue(share, now)) {
-    mDependencies.metrics.add("savoryrill_gateway_permits_issued_total",
-                              issued.grant.count);
-    if (issued.host == mSettings.host) {
-      mDependencies.selector.limits().grant(issued.grant, now);
-      granted = true;
-    } else {
-      messages[issued.host].grants.push_back(issued.grant);
-    }
-  }
+  PermitExchange::Role role;
+  role.issues = mLeading;
+  role.hostCount = mHostCount > 0 ? mHostCount : kUnknownHostCount;
+  std::set<std::string> connected{ mSettings.host };
   for (const auto& [id, peer_host] : mPeerHosts) {
-    if (const auto found = messages.find(peer_host.peer.host); found != messages.end()) {
-      sendPermits(id, found->second);
-      messages.erase(found);
+    const auto& peer = peer_host.peer;
+    connected.insert(peer.host);
+    if (!mLeading && peer.outgoing && peer.endpoint == mConnectedTo) {
+      role.issuer = peer.host;
     }
   }
-  if (granted) {
-    mHandlers.onReplicasChanged();
+  if (!mLeading) {
+    // A former leader serves the hosts that are still connected. The others may have
+    // heard of another leader, which issues permits at the same time.
+    const auto count = static_cast<double>(connected.size());
+    role.share = count / std::max<double>(count, mHostCount);
   }
+  return role;
 }
 
 void
@@ -243,28 +174,16 @@
     recordBadEntry(aPeer, message.error());
     return;
   }
-  const auto now = mDependencies.loop.now();
-  auto& limits = mDependencies.selector.limits();
-  PermitMessage answer;
-  answer.lifted = applyPermitRequests(aPeer.host, message.value());
-  sendPermits(aPeer.id, answer);
-  for (const auto& upstream : message.value().lifted) {
-    recordLifted(upstream);
-  }
-  for (const auto& grant : message.value().grants) {
-    limits.grant(grant, now);
-  }
-  issuePermits();
-  if (!message.value().grants.empty() || !message.value().lifted.empty()) {
-    mHandlers.onReplicasChanged();
-  }
+  mPermits.received(aPeer.host, message.value(), permitRole());
 }
 
 void
-LeaderTask::sendPermits(std::uint64_t aPeerId, const PermitMessage& aMessage)
+LeaderTask::sendPermits(const std::string& aHost, const PermitMessage& aMessage)
 {
-  if (aMessage.empty()) {
-    return;
+  const auto found = std::ranges::find_if(
+    mPeerHosts, [&](const auto& aItem) { return aItem.second.peer.host == aHost; });
+  if (found == mPeerHosts.end()) {
+    return; // the host asks again once it is connected
   }
   peer::Delta delta;
   auto* entry = delta.add_entries();
@@ -273,8 +192,7 @@
   entry->set_origin(mSettings.host);
   entry->set_sequence(++mSequence);
   entry->set_payload(encodePermits(aMessage));
-  // A message that is lost is repeated: hosts ask again.
-  mPeers->send(aPeerId, delta);
+  mPeers->send(found->first, delta);
 }
 
 void
@@ -601,7 +519,7 @@
   status.hostCount = mHostCount;
   addExpectedTimes(status);
   status.loads = mTotalLoads;
-  status.limits = mPermitIssuer.limits(mDependencies.loop.now());
+  status.limits = mPermits.limits();
   status.configVersion = mHandlers.configVersion();
   status.rowVersion = mLeadership.baseVersion();
   return status;
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -108,6 +108,16 @@
   , mHandlers(std::move(aHandlers))
   , mRandom(aSeed)
   , mLeadership(leadershipOptions(aSettings))
+  , mPermits(
+      { aDependencies.loop,
+        aDependencies.log,
+        aDependencies.metrics,
+        aDependencies.selector.limits() },
+      aSettings.host,
+      [this](const std::string& aHost, const PermitMessage& aMessage) {
+        sendPermits(aHost, aMessage);
+      },
+      [this] { mHandlers.onReplicasChanged(); })
   , mLastLeaderContact(aDependencies.loop.now())
   , mStarted(aDependencies.loop.now())
   , mSuitedToLead(!hasSlowLink(aSettings))
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -13,12 +13,12 @@
 #include "config/gatewaysettings.h"
 #include "event/loop.h"
 #include "gateway/internal/peercodec.h"
+#include "gateway/internal/permitexchange.h"
 #include "gateway/iprotocol.h"
 #include "gateway/irowstore.h"
 #include "gateway/upstreamselector.h"
 #include "link/requestclient.h"
 #include "serving/leadership.h"
-#include "serving/permitissuer.h"
 #include "serving/placementplanner.h"
 #include "serving/promptquarantine.h"
 #include "serving/upstreamlistchanges.h"
@@ -49,7 +49,8 @@
   {
     /// Returns the demand of this host since the last call.
     std::function<std::vector<serving::DemandItem>()> takeDemand;
-    /// Replica views or expected times have changed.
+    /// Replica views, expected times or permits have changed, so that waiting requests
+    /// may be sent.
     std::function<void()> onReplicasChanged;
     /// Receives the number of hosts that exchange demand, also if it has not changed.
     std::function<void(std::uint32_t)> onHostCountReceived;
@@ -130,19 +131,10 @@
                           const std::vector<serving::PartEvidence>& aEvidence);
   void receivePromptEvidence(const transport::RemotePeer& aPeer,
                              const std::string& aPayload);
-  /// Asks for permits that requests wait for, and issues those that others wait for.
   void exchangePermits();
+  PermitExchange::Role permitRole() const;
   void receivePermits(const transport::RemotePeer& aPeer, const std::string& aPayload);
-  /// Applies what a host asks for and returns. Returns the upstreams of its asks that no
-  /// longer limit their rate.
-  std::vector<std::string> applyPermitRequests(const std::string& aHost,
-                                               const PermitMessage& aMessage);
-  void recordLifted(const std::string& aUpstream);
-  void issuePermits();
-  /// Part of all hosts that are still connected to this one. A former leader issues
-  /// permits for this part of the rates, since others may have heard of another leader.
-  double shareOfConnectedHosts() const;
-  void sendPermits(std::uint64_t aPeerId, const PermitMessage& aMessage);
+  void sendPermits(const std::string& aHost, const PermitMessage& aMessage);
 
   void reportDemand();
   void receiveDemand(const transport::RemotePeer& aPeer, const HostDemand& aDemand);
@@ -208,7 +200,7 @@
   std::map<std::uint64_t, PeerHost> mPeerHosts;
   std::map<std::string, std::map<std::string, std::uint32_t>> mLoads; // by host, upstream
   std::map<std::string, std::uint32_t> mTotalLoads; // of all hosts, by upstream
-  serving::PermitIssuer mPermitIssuer;
+  PermitExchange mPermits;
   std::string mConnectedTo;
   std::vector<std::string> mSubstitutes; // endpoints, named by the leader
   bool mSubstitutesInUse = false;
