--- a/src/link/outboundconnection.h
+++ b/src/link/outboundconnection.h
@@ -144,16 +144,16 @@
     bool reused = false; // was idle in the pool, not newly opened
   };
 
-  /// Returns a connection to `aEndpoint` for one exchange: an idle connection of `aKey`,
-  /// or a new one if fewer than `aMaxConnections` connections of the key are open. The
-  /// key names one incarnation of an upstream, so that a connection to an earlier
-  /// incarnation at the same address is never used for its successor. With
-  /// `Source::OnlyNew` idle connections are not used, but closed if they leave no room.
   enum class Source
   {
     IdleOrNew,
-    OnlyNew
+    OnlyNew // idle connections are closed if they leave no room
   };
+
+  /// Returns a connection to `aEndpoint` for one exchange: an idle connection of `aKey`,
+  /// or a new one if fewer than `aMaxConnections` connections of the key are open. The
+  /// key names one incarnation of an upstream, so that a connection to an earlier
+  /// incarnation at the same address is never used for its successor.
   PooledConnection take(const std::string& aKey,
                         const Endpoint& aEndpoint,
                         std::size_t aMaxConnections,
