Name requests for permits and accrued permits by their usual terms

'Ask' as a noun becomes a permit request, and permits that a host 'earns alone' are accrued. Fields, their numbers and decisions are the same.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -180,7 +180,7 @@
   mQuarantine.start();
   mScheduler.setDemandCallback([this] {
     mLeader->onDemandIncreased();
-    mLeader->onPermitWanted();
+    mLeader->onPermitRequested();
   });
   mScheduler.setUpstreamLeavingCallback(
     [this](const std::string& aUpstream, std::int64_t aBornMs) {
@@ -445,8 +445,8 @@
 GatewayImpl::sendWaiting()
 {
   mScheduler.sendWaiting();
-  if (mSelector.limits().wantsPermits()) {
-    mLeader->onPermitWanted();
+  if (mSelector.limits().hasPermitRequests()) {
+    mLeader->onPermitRequested();
   }
 }
 
--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -124,7 +124,7 @@
 }
 
 void
-LeaderTask::onPermitWanted()
+LeaderTask::onPermitRequested()
 {
   if (mPermitsPosted) {
     return;
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -92,7 +92,7 @@
   /// The upstream list was read; entries may have newer engine reports.
   void onUpstreamListRead();
   /// A request waits for a permit; asks for it in the next iteration of the loop.
-  void onPermitWanted();
+  void onPermitRequested();
   /// There is new demand; reports it in the next iteration of the loop.
   void onDemandIncreased();
   /// Releases the lease, if this host holds it, and does not take it again.
--- a/src/gateway/internal/peercodec.cpp
+++ b/src/gateway/internal/peercodec.cpp
@@ -223,12 +223,12 @@
 encodePermits(const PermitMessage& aMessage)
 {
   peer::PermitContent content;
-  for (const auto& ask : aMessage.asks) {
-    auto* encoded = content.add_asks();
-    encoded->set_upstream(ask.upstream);
-    encoded->set_per_second(ask.perSecond);
-    if (ask.age) {
-      encoded->set_age_ms(milliseconds(*ask.age));
+  for (const auto& request : aMessage.requests) {
+    auto* encoded = content.add_requests();
+    encoded->set_upstream(request.upstream);
+    encoded->set_per_second(request.perSecond);
+    if (request.age) {
+      encoded->set_age_ms(milliseconds(*request.age));
     }
   }
   const auto add = [](const serving::PermitGrant& aGrant,
@@ -256,16 +256,18 @@
     return fail(ErrorCode::Malformed, "message on permits cannot be parsed");
   }
   PermitMessage message;
-  for (const auto& encoded : content.asks()) {
+  for (const auto& encoded : content.requests()) {
     if (encoded.upstream().empty() || !isRate(encoded.per_second())) {
       return fail(ErrorCode::Malformed,
-                  "message on permits asks without an upstream or a valid rate");
+                  "message on permits has a request without an upstream or a valid rate");
     }
-    serving::PermitAsk ask{ encoded.upstream(), encoded.per_second(), std::nullopt };
+    serving::PermitRequest request{ encoded.upstream(),
+                                    encoded.per_second(),
+                                    std::nullopt };
     if (encoded.has_age_ms()) {
-      ask.age = std::chrono::milliseconds(encoded.age_ms());
+      request.age = std::chrono::milliseconds(encoded.age_ms());
     }
-    message.asks.push_back(std::move(ask));
+    message.requests.push_back(std::move(request));
   }
   const auto decoded = [](const peer::PermitContent::Grant& aEncoded) {
     return serving::PermitGrant{ aEncoded.upstream(),
--- a/src/gateway/internal/peercodec.h
+++ b/src/gateway/internal/peercodec.h
@@ -34,14 +34,14 @@
 /// their rate.
 struct PermitMessage
 {
-  std::vector<serving::PermitAsk> asks;
+  std::vector<serving::PermitRequest> requests;
   std::vector<serving::PermitGrant> grants;
   std::vector<serving::PermitGrant> unused; // that the host gives back
   std::vector<std::string> lifted;          // upstreams that no longer limit their rate
 
   bool empty() const
   {
-    return asks.empty() && grants.empty() && unused.empty() && lifted.empty();
+    return requests.empty() && grants.empty() && unused.empty() && lifted.empty();
   }
 };
 
--- a/src/gateway/internal/permitexchange.cpp
+++ b/src/gateway/internal/permitexchange.cpp
@@ -29,16 +29,16 @@
   message.lifted = limits.takeLifted();
   if (aRole.issues || !aRole.issuer.empty()) {
     message.unused = limits.takeUnused(now);
-    message.asks = limits.takeAsks(now);
+    message.requests = limits.takeRequests(now);
   } else {
-    limits.earnAlone(aRole.hostCount, now);
+    limits.accrueOwnShare(aRole.hostCount, now);
   }
   if (aRole.issues) {
     for (const auto& upstream : applyRequests(mOwnHost, message)) {
       recordLifted(upstream);
     }
   } else if (!aRole.issuer.empty() && !message.empty()) {
-    // A message that is lost is repeated: the host asks again.
+    // A message that is lost is repeated: the host requests it again.
     mSend(aRole.issuer, message);
   }
   issue(aRole.share);
@@ -77,9 +77,9 @@
     mIssuer.giveBack(unused);
   }
   std::vector<std::string> lifted;
-  for (const auto& ask : aMessage.asks) {
-    if (!mIssuer.ask(aHost, ask, now)) {
-      lifted.push_back(ask.upstream);
+  for (const auto& request : aMessage.requests) {
+    if (!mIssuer.request(aHost, request, now)) {
+      lifted.push_back(request.upstream);
     }
   }
   return lifted;
--- a/src/gateway/internal/permitexchange.h
+++ b/src/gateway/internal/permitexchange.h
@@ -16,7 +16,7 @@
 namespace savoryrill::gateway {
 
 /// Gets this host its permits to send requests to upstreams that limit their rate, and
-/// issues permits to hosts that ask this one. Every host can issue; hosts ask the leader
+/// issues permits to hosts that request them. Every host can issue; hosts ask the leader
 /// of placement, or the last one that they know of. Not thread safe.
 class PermitExchange
 {
@@ -46,22 +46,22 @@
                  Send aSend,
                  std::function<void()> aOnPermitted);
 
-  /// Asks for permits that requests wait for, and issues those that other hosts wait for.
-  /// Call it regularly, and when a request begins to wait.
+  /// Requests permits that callers' requests wait for, and issues those that other hosts
+  /// wait for. Call it regularly, and when a request begins to wait.
   void exchange(const Role& aRole);
   void received(const std::string& aHost,
                 const PermitMessage& aMessage,
                 const Role& aRole);
 
-  /// Limits that hosts have named lately when they asked this one.
+  /// Limits that hosts have named lately in their requests to this one.
   std::map<std::string, double> limits() const
   {
     return mIssuer.limits(mDependencies.loop.now());
   }
 
 private:
-  /// Applies what a host asks for and gives back. Returns the upstreams of its asks that
-  /// no longer limit their rate.
+  /// Applies what a host asks for and gives back. Returns the upstreams of its requests
+  /// that no longer limit their rate.
   std::vector<std::string> applyRequests(const std::string& aHost,
                                          const PermitMessage& aMessage);
   void recordLifted(const std::string& aUpstream);
--- a/src/gateway/internal/upstreamselector.cpp
+++ b/src/gateway/internal/upstreamselector.cpp
@@ -285,7 +285,7 @@
   const auto index = routing::choose(mPolicy, candidates, mRandom);
   if (!index) {
     std::ranges::shuffle(without_permit, mRandom);
-    mLimits.want(without_permit, aNow);
+    mLimits.requestOneOf(without_permit, aNow);
     return std::nullopt;
   }
   const auto& chosen = candidates[*index].upstream;
--- a/src/gateway/tests/codectest.cpp
+++ b/src/gateway/tests/codectest.cpp
@@ -124,26 +124,26 @@
 TEST(GatewayCodec, Permits_SurviveEncodingAndMalformedOnesFail)
 {
   PermitMessage message;
-  message.asks = { { "a", 1.5, 250ms }, { "b", 0, std::nullopt } };
+  message.requests = { { "a", 1.5, 250ms }, { "b", 0, std::nullopt } };
   message.grants = { { "c", 2 } };
   message.unused = { { "d", 1000000 } };
   message.lifted = { "e" };
   const auto decoded = decodePermits(encodePermits(message)).value();
-  LONGS_EQUAL(2, decoded.asks.size());
-  STRCMP_EQUAL("a", decoded.asks[0].upstream.c_str());
-  DOUBLES_EQUAL(1.5, decoded.asks[0].perSecond, 0.001);
-  CHECK_TRUE(decoded.asks[0].age == 250ms);
-  CHECK_FALSE(decoded.asks[1].age.has_value());
+  LONGS_EQUAL(2, decoded.requests.size());
+  STRCMP_EQUAL("a", decoded.requests[0].upstream.c_str());
+  DOUBLES_EQUAL(1.5, decoded.requests[0].perSecond, 0.001);
+  CHECK_TRUE(decoded.requests[0].age == 250ms);
+  CHECK_FALSE(decoded.requests[1].age.has_value());
   STRCMP_EQUAL("c", decoded.grants.at(0).upstream.c_str());
   LONGS_EQUAL(2, decoded.grants.at(0).count);
   CHECK_TRUE(decoded.unused.at(0).count < 1000); // more than a host can have
   STRCMP_EQUAL("e", decoded.lifted.at(0).c_str());
   CHECK_FALSE(decodePermits("\xff\xff").has_value());
   for (const double rate : { -1.0, std::nan(""), HUGE_VAL }) {
-    message.asks = { { "a", rate, std::nullopt } };
+    message.requests = { { "a", rate, std::nullopt } };
     CHECK_FALSE(decodePermits(encodePermits(message)).has_value());
   }
-  message.asks = { { "", 1.0, std::nullopt } };
+  message.requests = { { "", 1.0, std::nullopt } };
   CHECK_FALSE(decodePermits(encodePermits(message)).has_value());
 }
 
--- a/src/serving/internal/permitissuer.cpp
+++ b/src/serving/internal/permitissuer.cpp
@@ -6,18 +6,19 @@
 
 namespace {
 
-// Permits that may be saved up while no host asks: what the upstream takes in this time,
-// but at least one.
+// Permits that may be saved up while no host needs one: what the upstream takes in this
+// time, but at least one.
 constexpr double kBurstSeconds = 1;
-// An ask that its host has not repeated for this long is no longer needed.
-constexpr Duration kAskTime = 2 * PermitIssuer::kRepeatTime;
+// A request for a permit that its host has not repeated for this long is no longer
+// needed.
+constexpr Duration kPendingTime = 2 * PermitIssuer::kRepeatTime;
 // A limit that no host has mentioned for this long is forgotten.
 constexpr Duration kLimitMemory = 10s;
 // Hosts that have not sent a request since a limit was lifted learn it within this time.
 constexpr Duration kLiftedMemory = 60s;
 constexpr std::size_t kMaxUpstreams = 4096;
 // Of one upstream; a host has one at a time.
-constexpr std::size_t kMaxAsks = 4096;
+constexpr std::size_t kMaxPending = 4096;
 
 } // namespace
 
@@ -31,40 +32,43 @@
 PermitIssuer::expire(Instant aNow)
 {
   std::erase_if(mUpstreams, [&](const auto& aItem) {
-    return aNow - aItem.second.lastAsk > kLimitMemory;
+    return aNow - aItem.second.lastRequest > kLimitMemory;
   });
   std::erase_if(mLifted,
                 [&](const auto& aItem) { return aNow - aItem.second > kLiftedMemory; });
 }
 
 bool
-PermitIssuer::ask(const std::string& aHost, const PermitAsk& aAsk, Instant aNow)
+PermitIssuer::request(const std::string& aHost,
+                      const PermitRequest& aRequest,
+                      Instant aNow)
 {
-  const auto named = aAsk.age ? std::optional<Instant>(aNow - *aAsk.age) : std::nullopt;
-  const auto lifted = mLifted.find(aAsk.upstream);
+  const auto named =
+    aRequest.age ? std::optional<Instant>(aNow - *aRequest.age) : std::nullopt;
+  const auto lifted = mLifted.find(aRequest.upstream);
   const bool outdated = lifted != mLifted.end() && (!named || *named <= lifted->second);
-  const bool known = mUpstreams.contains(aAsk.upstream);
+  const bool known = mUpstreams.contains(aRequest.upstream);
   if (outdated && !known) {
     return false;
   }
   if (!known) {
     expire(aNow);
     if (mUpstreams.size() >= kMaxUpstreams) {
-      return true; // the host asks again
+      return true; // the host repeats its request
     }
-    mUpstreams[aAsk.upstream].refilled = aNow;
+    mUpstreams[aRequest.upstream].refilled = aNow;
   }
-  auto& upstream = mUpstreams[aAsk.upstream];
+  auto& upstream = mUpstreams[aRequest.upstream];
   if (!known || (named && (!upstream.named || *named > *upstream.named))) {
-    upstream.perSecond = aAsk.perSecond;
+    upstream.perSecond = aRequest.perSecond;
     upstream.named = named;
   }
-  upstream.lastAsk = aNow;
-  const auto earlier = std::ranges::find(upstream.asks, aHost, &Ask::host);
-  if (earlier != upstream.asks.end()) {
+  upstream.lastRequest = aNow;
+  const auto earlier = std::ranges::find(upstream.pending, aHost, &Pending::host);
+  if (earlier != upstream.pending.end()) {
     earlier->at = aNow;
-  } else if (upstream.asks.size() < kMaxAsks) {
-    upstream.asks.push_back({ aHost, aNow });
+  } else if (upstream.pending.size() < kMaxPending) {
+    upstream.pending.push_back({ aHost, aNow });
   }
   return true;
 }
@@ -87,12 +91,13 @@
       upstream.perSecond * aShare * toSeconds(aNow - upstream.refilled);
     upstream.permits = std::min(mostPermits(upstream), upstream.permits + added);
     upstream.refilled = aNow;
-    std::erase_if(upstream.asks,
-                  [&](const Ask& aAsk) { return aNow - aAsk.at > kAskTime; });
-    while (upstream.permits >= 1 && !upstream.asks.empty()) {
+    std::erase_if(upstream.pending, [&](const Pending& aPending) {
+      return aNow - aPending.at > kPendingTime;
+    });
+    while (upstream.permits >= 1 && !upstream.pending.empty()) {
       upstream.permits -= 1;
-      issued.push_back({ upstream.asks.front().host, { id, 1 } });
-      upstream.asks.pop_front();
+      issued.push_back({ upstream.pending.front().host, { id, 1 } });
+      upstream.pending.pop_front();
     }
   }
   return issued;
@@ -103,7 +108,7 @@
 {
   std::map<std::string, double> limits;
   for (const auto& [id, upstream] : mUpstreams) {
-    if (aNow - upstream.lastAsk <= kLimitMemory) {
+    if (aNow - upstream.lastRequest <= kLimitMemory) {
       limits[id] = upstream.perSecond;
     }
   }
--- a/src/serving/internal/upstreamlimits.cpp
+++ b/src/serving/internal/upstreamlimits.cpp
@@ -55,7 +55,7 @@
 bool
 UpstreamLimits::lift(const std::string& aUpstream, Instant aNow)
 {
-  mWanted.erase(aUpstream);
+  mRequested.erase(aUpstream);
   if (mLimits.erase(aUpstream) == 0) {
     return false;
   }
@@ -112,38 +112,39 @@
 }
 
 void
-UpstreamLimits::want(const std::vector<std::string>& aUpstreams, Instant aNow)
+UpstreamLimits::requestOneOf(const std::vector<std::string>& aUpstreams, Instant aNow)
 {
   for (const auto& id : aUpstreams) {
     const auto found = mLimits.find(id);
     if (found == mLimits.end()) {
       continue;
     }
-    const auto& asked = found->second.asked;
-    if (!mWanted.contains(id) && (!asked || aNow - *asked >= PermitIssuer::kRepeatTime)) {
-      mWanted.insert(id);
+    const auto& requested = found->second.requested;
+    if (!mRequested.contains(id) &&
+        (!requested || aNow - *requested >= PermitIssuer::kRepeatTime)) {
+      mRequested.insert(id);
       return;
     }
   }
 }
 
-std::vector<PermitAsk>
-UpstreamLimits::takeAsks(Instant aNow)
+std::vector<PermitRequest>
+UpstreamLimits::takeRequests(Instant aNow)
 {
-  std::vector<PermitAsk> asks;
-  for (const auto& id : std::exchange(mWanted, {})) {
+  std::vector<PermitRequest> requests;
+  for (const auto& id : std::exchange(mRequested, {})) {
     const auto found = mLimits.find(id);
     if (found == mLimits.end()) {
       continue;
     }
     auto& limit = found->second;
-    limit.asked = aNow;
-    asks.push_back({ id, limit.perSecond, std::nullopt });
+    limit.requested = aNow;
+    requests.push_back({ id, limit.perSecond, std::nullopt });
     if (limit.named) {
-      asks.back().age = aNow - *limit.named;
+      requests.back().age = aNow - *limit.named;
     }
   }
-  return asks;
+  return requests;
 }
 
 void
@@ -153,7 +154,7 @@
   if (found == mLimits.end()) {
     return; // lifted meanwhile
   }
-  found->second.asked.reset();
+  found->second.requested.reset();
   found->second.permits.insert(found->second.permits.end(), aGrant.count, aNow);
 }
 
@@ -172,22 +173,22 @@
 }
 
 void
-UpstreamLimits::earnAlone(std::uint32_t aHostCount, Instant aNow)
+UpstreamLimits::accrueOwnShare(std::uint32_t aHostCount, Instant aNow)
 {
-  mWanted.clear();
+  mRequested.clear();
   const double share = kUsedShare / std::max(1U, aHostCount);
   for (auto& [id, limit] : mLimits) {
-    // Earns nothing for the time in which another host issued permits.
-    const Instant since = limit.earnedUntil.value_or(aNow);
-    const bool just_earning = aNow - since < PermitIssuer::kPermitTime;
-    limit.earnedPerSecond = limit.perSecond * share;
+    // Accrues nothing for the time in which another host issued permits.
+    const Instant since = limit.accruedUntil.value_or(aNow);
+    const bool accrued_lately = aNow - since < PermitIssuer::kPermitTime;
+    limit.accruedPerSecond = limit.perSecond * share;
     const double added =
-      just_earning ? limit.earnedPerSecond * toSeconds(aNow - since) : 0;
-    limit.earned = limit.earned.value_or(mPhase) + added;
-    limit.earnedUntil = aNow;
-    if (*limit.earned >= 1) {
+      accrued_lately ? limit.accruedPerSecond * toSeconds(aNow - since) : 0;
+    limit.accrued = limit.accrued.value_or(mPhase) + added;
+    limit.accruedUntil = aNow;
+    if (*limit.accrued >= 1) {
       // Not saved up, so that many hosts cannot use what they saved at the same time.
-      limit.earned = *limit.earned - std::floor(*limit.earned);
+      limit.accrued = *limit.accrued - std::floor(*limit.accrued);
       limit.permits.push_back(aNow);
     }
   }
@@ -200,13 +201,13 @@
     return Duration::zero();
   }
   const auto& limit = mLimits.at(aUpstream);
-  if (!limit.earnedUntil || aNow - *limit.earnedUntil >= PermitIssuer::kPermitTime) {
+  if (!limit.accruedUntil || aNow - *limit.accruedUntil >= PermitIssuer::kPermitTime) {
     return std::nullopt;
   }
-  const double missing = 1 - limit.earned.value_or(0);
-  return *limit.earnedUntil - aNow +
+  const double missing = 1 - limit.accrued.value_or(0);
+  return *limit.accruedUntil - aNow +
          std::chrono::duration_cast<Duration>(
-           std::chrono::duration<double>(missing / limit.earnedPerSecond));
+           std::chrono::duration<double>(missing / limit.accruedPerSecond));
 }
 
 std::vector<std::string>
@@ -220,7 +221,7 @@
 {
   mLimits.erase(aUpstream);
   mLifted.erase(aUpstream);
-  mWanted.erase(aUpstream);
+  mRequested.erase(aUpstream);
 }
 
 void
--- a/src/serving/permitissuer.h
+++ b/src/serving/permitissuer.h
@@ -13,19 +13,19 @@
 
 /// Divides the rates that upstreams take from all hosts together among the hosts that
 /// have requests for them: one host issues permits to all, in the order in which they
-/// ask. Not thread safe; no I/O.
+/// request them. Not thread safe; no I/O.
 class PermitIssuer
 {
 public:
   /// Time for which a permit is valid.
   static constexpr Duration kPermitTime = 1s;
-  /// Time after which a host repeats an ask that was not answered.
+  /// Time after which a host repeats a request for a permit that was not answered.
   static constexpr Duration kRepeatTime = 400ms;
 
-  /// A host asks for one permit. Its earlier ask for the upstream, if any, keeps its
+  /// A host requests one permit. Its earlier request for the upstream, if any, keeps its
   /// place. Returns false if the upstream has lifted its limit since that host learned of
   /// it, so that the host needs no permit.
-  bool ask(const std::string& aHost, const PermitAsk& aAsk, Instant aNow);
+  bool request(const std::string& aHost, const PermitRequest& aRequest, Instant aNow);
 
   /// A host returns permits that it has not used.
   void giveBack(const PermitGrant& aUnused);
@@ -39,14 +39,14 @@
   /// that this host may issue.
   std::vector<Issued> issue(double aShare, Instant aNow);
 
-  /// Limits that were named in recent asks, by upstream.
+  /// Limits that were named in recent requests, by upstream.
   std::map<std::string, double> limits(Instant aNow) const;
 
   /// A response of the upstream named no limit any more.
   void lift(const std::string& aUpstream, Instant aNow);
 
 private:
-  struct Ask
+  struct Pending
   {
     std::string host;
     Instant at;
@@ -57,8 +57,8 @@
     std::optional<Instant> named; // when the upstream named this limit
     double permits = 0;           // that may be issued now
     Instant refilled{};
-    Instant lastAsk{};
-    std::deque<Ask> asks;
+    Instant lastRequest{};
+    std::deque<Pending> pending; // one of each host
   };
   static double mostPermits(const Upstream& aUpstream);
   void expire(Instant aNow);
--- a/src/serving/tests/permitstest.cpp
+++ b/src/serving/tests/permitstest.cpp
@@ -19,20 +19,20 @@
   PermitIssuer issuer;
   Instant now{ std::chrono::hours(1) };
 
-  bool ask(const std::string& aHost,
-           double aPerSecond,
-           std::optional<Duration> aAge = Duration::zero())
+  bool request(const std::string& aHost,
+               double aPerSecond,
+               std::optional<Duration> aAge = Duration::zero())
   {
-    return issuer.ask(aHost, { kUpstream, aPerSecond, aAge }, now);
+    return issuer.request(aHost, { kUpstream, aPerSecond, aAge }, now);
   }
 
-  /// Permits issued in a time in which `aHosts` hosts ask all the time.
+  /// Permits issued in a time in which `aHosts` hosts request some all the time.
   std::uint32_t issuedIn(Duration aTime, int aHosts, double aPerSecond)
   {
     std::uint32_t count = 0;
     for (const Instant end = now + aTime; now < end; now += 50ms) {
       for (int host = 0; host < aHosts; ++host) {
-        ask("h" + std::to_string(host), aPerSecond);
+        request("h" + std::to_string(host), aPerSecond);
       }
       for (const auto& issued : issuer.issue(1.0, now)) {
         count += issued.grant.count;
@@ -44,25 +44,25 @@
 
 // Guards against an upstream that gets more requests than it takes, from hosts that each
 // stay within its limit (incident 0005).
-TEST(PermitIssuer, ManyHostsAsk_SumIsWithinRate)
+TEST(PermitIssuer, ManyHostsRequest_SumIsWithinRate)
 {
   issuedIn(5s, 64, 2.0);
   LONGS_EQUAL(8, issuedIn(4s, 64, 2.0));
 }
 
-TEST(PermitIssuer, OneHostAsks_GetsWholeRate)
+TEST(PermitIssuer, OneHostRequests_GetsWholeRate)
 {
   issuedIn(5s, 1, 3.0);
   LONGS_EQUAL(12, issuedIn(4s, 1, 3.0));
 }
 
 // Guards against hosts that get no permit while others get several.
-TEST(PermitIssuer, HostsAsk_ServedInTurn)
+TEST(PermitIssuer, HostsRequest_ServedInTurn)
 {
   std::map<std::string, int> permits;
   for (int step = 0; step < 200; ++step) {
     for (const char* host : { "a", "b", "c" }) {
-      ask(host, 3.0);
+      request(host, 3.0);
     }
     for (const auto& issued : issuer.issue(1.0, now)) {
       ++permits[issued.host];
@@ -72,10 +72,10 @@
   CHECK_TRUE(permits["a"] >= 9 && permits["b"] >= 9 && permits["c"] >= 9);
 }
 
-// Guards against permits that are saved up while nobody asks and then used at once.
-TEST(PermitIssuer, NobodyAsksForLong_NoBurstAfterwards)
+// Guards against permits that are saved up while nobody needs them and then used at once.
+TEST(PermitIssuer, NobodyRequestsForLong_NoBurstAfterwards)
 {
-  ask("a", 2.0);
+  request("a", 2.0);
   issuer.issue(1.0, now);
   now += 9s;
   CHECK_TRUE(issuedIn(50ms, 64, 2.0) <= 2);
@@ -84,11 +84,11 @@
 // Guards against a rate of which a part is lost with permits that hosts do not need.
 TEST(PermitIssuer, UnusedPermitsReturned_IssuedToOthers)
 {
-  ask("a", 1.0);
+  request("a", 1.0);
   now += 1s;
-  ask("a", 1.0);
+  request("a", 1.0);
   LONGS_EQUAL(1, issuer.issue(1.0, now).size());
-  ask("b", 1.0);
+  request("b", 1.0);
   LONGS_EQUAL(0, issuer.issue(1.0, now).size());
   issuer.giveBack({ kUpstream, 1 });
   const auto issued = issuer.issue(1.0, now);
@@ -99,57 +99,57 @@
 // Guards against hosts that return more permits than they got.
 TEST(PermitIssuer, ManyPermitsReturned_NoMoreThanASecondsWorthSavedUp)
 {
-  ask("a", 2.0);
+  request("a", 2.0);
   issuer.giveBack({ kUpstream, 60 });
   LONGS_EQUAL(2, issuedIn(50ms, 64, 2.0));
 }
 
 // Guards against a host that no longer needs a permit and keeps others from theirs.
-TEST(PermitIssuer, AskNotRepeated_Dropped)
+TEST(PermitIssuer, RequestNotRepeated_Dropped)
 {
-  ask("a", 1.0);
+  request("a", 1.0);
   now += 2s;
-  ask("b", 1.0);
+  request("b", 1.0);
   const auto issued = issuer.issue(1.0, now);
   LONGS_EQUAL(1, issued.size());
   STRCMP_EQUAL("b", issued.front().host.c_str());
 }
 
 // Guards against a limit that comes back from hosts which have not heard of its end.
-TEST(PermitIssuer, LimitLifted_OutdatedAskRefused)
+TEST(PermitIssuer, LimitLifted_OutdatedRequestRefused)
 {
-  ask("a", 2.0);
+  request("a", 2.0);
   now += 1s;
   issuer.lift(kUpstream, now);
   now += 1s;
-  CHECK_FALSE(ask("b", 2.0, 1500ms));
-  CHECK_FALSE(ask("b", 2.0, std::nullopt));
+  CHECK_FALSE(request("b", 2.0, 1500ms));
+  CHECK_FALSE(request("b", 2.0, std::nullopt));
   LONGS_EQUAL(0, issuer.limits(now).size());
-  CHECK_TRUE(ask("b", 2.0, 500ms));
+  CHECK_TRUE(request("b", 2.0, 500ms));
   LONGS_EQUAL(1, issuer.limits(now).size());
 }
 
 // Guards against a rate set by a host that has not heard of the newest limit.
 TEST(PermitIssuer, HostsNameDifferentLimits_NewestApplies)
 {
-  ask("a", 4.0, 100ms);
-  ask("b", 2.0, 900ms);
-  ask("c", 1.0, std::nullopt);
+  request("a", 4.0, 100ms);
+  request("b", 2.0, 900ms);
+  request("c", 1.0, std::nullopt);
   DOUBLES_EQUAL(4.0, issuer.limits(now).at(kUpstream), 0.001);
-  ask("b", 3.0, 50ms);
+  request("b", 3.0, 50ms);
   DOUBLES_EQUAL(3.0, issuer.limits(now).at(kUpstream), 0.001);
 }
 
 TEST(PermitIssuer, FormerLeader_IssuesItsShare)
 {
   for (int step = 0; step < 100; ++step) {
-    ask("a", 2.0);
+    request("a", 2.0);
     issuer.issue(0.5, now);
     now += 50ms;
   }
   std::size_t issued = 0;
   for (int step = 0; step < 80; ++step) {
-    ask("a", 2.0);
+    request("a", 2.0);
     issued += issuer.issue(0.5, now).size();
     now += 50ms;
   }
@@ -158,7 +158,7 @@
 
 TEST(PermitIssuer, LimitNotMentioned_Forgotten)
 {
-  ask("a", 2.0);
+  request("a", 2.0);
   LONGS_EQUAL(1, issuer.limits(now).size());
   now += 11s;
   LONGS_EQUAL(0, issuer.limits(now).size());
@@ -173,8 +173,8 @@
 TEST(UpstreamLimits, NoLimit_NoPermitNeeded)
 {
   CHECK_TRUE(limits.permits(kUpstream, now));
-  limits.want({ kUpstream }, now);
-  CHECK_FALSE(limits.wantsPermits());
+  limits.requestOneOf({ kUpstream }, now);
+  CHECK_FALSE(limits.hasPermitRequests());
 }
 
 TEST(UpstreamLimits, LimitNamed_EachRequestNeedsPermit)
@@ -182,8 +182,8 @@
   CHECK_TRUE(limits.setNamed(kUpstream, 2.0, now));
   CHECK_FALSE(limits.setNamed(kUpstream, 2.0, now));
   CHECK_FALSE(limits.permits(kUpstream, now));
-  limits.want({ kUpstream }, now);
-  LONGS_EQUAL(1, limits.takeAsks(now).size());
+  limits.requestOneOf({ kUpstream }, now);
+  LONGS_EQUAL(1, limits.takeRequests(now).size());
   limits.grant({ kUpstream, 1 }, now);
   CHECK_TRUE(limits.permits(kUpstream, now));
   limits.use(kUpstream, now);
@@ -198,16 +198,16 @@
   CHECK_FALSE(limits.permits(kUpstream, now + 1s));
 }
 
-TEST(UpstreamLimits, AskNotAnswered_Repeated)
+TEST(UpstreamLimits, RequestNotAnswered_Repeated)
 {
   constexpr Duration kRepeat = PermitIssuer::kRepeatTime;
   limits.setNamed(kUpstream, 2.0, now);
-  limits.want({ kUpstream }, now);
-  LONGS_EQUAL(1, limits.takeAsks(now).size());
-  limits.want({ kUpstream }, now + kRepeat - 1ms);
-  LONGS_EQUAL(0, limits.takeAsks(now + kRepeat - 1ms).size());
-  limits.want({ kUpstream }, now + kRepeat);
-  LONGS_EQUAL(1, limits.takeAsks(now + kRepeat).size());
+  limits.requestOneOf({ kUpstream }, now);
+  LONGS_EQUAL(1, limits.takeRequests(now).size());
+  limits.requestOneOf({ kUpstream }, now + kRepeat - 1ms);
+  LONGS_EQUAL(0, limits.takeRequests(now + kRepeat - 1ms).size());
+  limits.requestOneOf({ kUpstream }, now + kRepeat);
+  LONGS_EQUAL(1, limits.takeRequests(now + kRepeat).size());
 }
 
 TEST(UpstreamLimits, PermitNotUsedSoon_Returned)
@@ -219,11 +219,11 @@
   CHECK_FALSE(limits.permits(kUpstream, now + 200ms));
 }
 
-TEST(UpstreamLimits, Ask_SaysWhenLimitWasNamed)
+TEST(UpstreamLimits, Request_SaysWhenLimitWasNamed)
 {
   limits.setNamed(kUpstream, 2.0, now);
-  limits.want({ kUpstream }, now + 300ms);
-  CHECK_TRUE(limits.takeAsks(now + 300ms).front().age == 300ms);
+  limits.requestOneOf({ kUpstream }, now + 300ms);
+  CHECK_TRUE(limits.takeRequests(now + 300ms).front().age == 300ms);
 }
 
 // Guards against a host that goes on with a limit which others know to be lifted.
@@ -260,8 +260,8 @@
 TEST(UpstreamLimits, LimitOfZero_RequestNowAndThen)
 {
   limits.setNamed(kUpstream, 0.0, now);
-  limits.want({ kUpstream }, now);
-  CHECK_TRUE(limits.takeAsks(now).front().perSecond > 0);
+  limits.requestOneOf({ kUpstream }, now);
+  CHECK_TRUE(limits.takeRequests(now).front().perSecond > 0);
 }
 
 TEST(UpstreamLimits, LimitNotConfirmed_Forgotten)
@@ -271,12 +271,12 @@
   CHECK_TRUE(limits.permits(kUpstream, now + 61s));
 }
 
-// Guards against requests that wait for a permit which this host earns too late.
+// Guards against requests that wait for a permit that this host gets too late.
 TEST(UpstreamLimits, NobodyIssuesPermits_TimeUntilNextIsKnown)
 {
   limits.setNamed(kUpstream, 1.0, now);
   CHECK_FALSE(limits.timeUntilPermit(kUpstream, now).has_value());
-  limits.earnAlone(8, now); // a tenth of a permit a second
+  limits.accrueOwnShare(8, now); // a tenth of a permit a second
   const auto time = limits.timeUntilPermit(kUpstream, now + 500ms);
   CHECK_TRUE(*time > 9400ms && *time < 9600ms);
   CHECK_FALSE(limits.timeUntilPermit(kUpstream, now + 2s).has_value());
@@ -295,7 +295,7 @@
   int used = 0;
   for (int step = 0; step < 200; ++step) { // 20 s
     for (auto& host : hosts) {
-      host.earnAlone(kHosts, now);
+      host.accrueOwnShare(kHosts, now);
       if (host.permits(kUpstream, now)) {
         host.use(kUpstream, now);
         ++used;
--- a/src/serving/types/permits.h
+++ b/src/serving/types/permits.h
@@ -9,7 +9,7 @@
 namespace savoryrill::serving {
 
 /// A host asks for a permit to send a request to an upstream that limits their rate.
-struct PermitAsk
+struct PermitRequest
 {
   std::string upstream;
   double perSecond = 0; // the limit that the upstream has named
--- a/src/serving/upstreamlimits.h
+++ b/src/serving/upstreamlimits.h
@@ -20,7 +20,7 @@
 {
 public:
   /// `aPhase`, from 0 to 1, differs between hosts, so that those without an issuing host
-  /// do not all earn their permits at the same time.
+  /// do not all get their permits at the same time.
   explicit UpstreamLimits(double aPhase)
     : mPhase(aPhase)
   {
@@ -45,18 +45,19 @@
   void use(const std::string& aUpstream, Instant aNow);
 
   /// A request could be sent to one of these upstreams if this host had a permit. Chooses
-  /// one for which this host has not asked yet.
-  void want(const std::vector<std::string>& aUpstreams, Instant aNow);
-  bool wantsPermits() const { return !mWanted.empty(); }
-  /// The permits to ask for now.
-  std::vector<PermitAsk> takeAsks(Instant aNow);
+  /// one for which this host has no request yet, and requests a permit.
+  void requestOneOf(const std::vector<std::string>& aUpstreams, Instant aNow);
+  bool hasPermitRequests() const { return !mRequested.empty(); }
+  /// The requests for permits to send now.
+  std::vector<PermitRequest> takeRequests(Instant aNow);
   void grant(const PermitGrant& aGrant, Instant aNow);
   /// Permits for which no request came. They are no longer this host's.
   std::vector<PermitGrant> takeUnused(Instant aNow);
 
-  /// Earns permits without an issuing host: a share of the rate, for a request at a time.
+  /// Accrues permits without an issuing host: a share of the rate, for a request at a
+  /// time.
   /// Call it regularly while no host issues permits.
-  void earnAlone(std::uint32_t aHostCount, Instant aNow);
+  void accrueOwnShare(std::uint32_t aHostCount, Instant aNow);
 
   /// Expected time until this host may send a request to the upstream: zero if it may
   /// now; nullopt if that is up to the issuing host.
@@ -79,19 +80,19 @@
   struct Limit
   {
     double perSecond = 0;
-    std::optional<Instant> named;    // by a response to this host
-    std::optional<Instant> reported; // by the issuing host
-    std::vector<Instant> permits;    // when each was received
-    std::optional<Instant> asked;
-    std::optional<Instant> earnedUntil; // without an issuing host
-    std::optional<double> earned;       // likewise; a permit at 1
-    double earnedPerSecond = 0;         // likewise
+    std::optional<Instant> named;        // by a response to this host
+    std::optional<Instant> reported;     // by the issuing host
+    std::vector<Instant> permits;        // when each was received
+    std::optional<Instant> requested;    // a permit
+    std::optional<Instant> accruedUntil; // without an issuing host
+    std::optional<double> accrued;       // likewise; a permit at 1
+    double accruedPerSecond = 0;         // likewise
   };
 
   double mPhase;
   std::map<std::string, Limit> mLimits;
   std::map<std::string, Instant> mLifted; // when each limit was lifted
-  std::set<std::string> mWanted;
+  std::set<std::string> mRequested;
   std::vector<std::string> mNewlyLifted;
 };
 
