--- a/src/serving/tests/permitstest.cpp
+++ b/src/serving/tests/permitstest.cpp
@@ -4,7 +4,6 @@
 #include "serving/upstreamlimits.h"
 
 using namespace savoryrill;
-using serving::PermitGrant;
 using serving::PermitIssuer;
 using serving::UpstreamLimits;
 
