Drop deferred calls of a gateway that has ended

Cause: LeaderTask (demand reports, requests for permits) and RequestScheduler (waiting requests) post calls to the event loop that refer to themselves. A gateway that is destroyed while such a call is posted leaves it behind, and the loop calls it on freed memory. Tests that end a host beside other hosts do that on one loop; the programs end with their loop, so no caller was affected.

Evidence: with sanitizers, group UpstreamLimitAcrossHosts 36 times, 12 beside each other: 7 runs end with heap-use-after-free in LeaderTask::onPermitRequested.

Ruled out: other groups of test-adapter.

Change: event::DeferredCall, which all three use, drops the call when its owner is destroyed, and replaces three copies of the same flag and post.

After: the same 36 runs pass, and the new tests pass in both builds.

--- a/src/event/tests/looptest.cpp
+++ b/src/event/tests/looptest.cpp
@@ -1,11 +1,14 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 #include <unistd.h>
 #include <vector>
 
+#include "event/deferredcall.h"
 #include "event/loop.h"
 
 using namespace savoryrill;
@@ -128,3 +131,49 @@
   runUntil([&] { return over; });
   LONGS_EQUAL(2, handled.size());
 }
+
+// Guards against a deferred call that is made inside `request`, more than once, or not
+// again after it was made.
+TEST(Loop, deferredCall_requestedTwice_madeOnceAndLater)
+{
+  int calls = 0;
+  event::DeferredCall call(*loop, [&] { ++calls; });
+  call.request();
+  call.request();
+  LONGS_EQUAL(0, calls);
+  runUntil([&] { return calls > 0; });
+  bool over = false;
+  loop->post([&] { over = true; });
+  runUntil([&] { return over; });
+  LONGS_EQUAL(1, calls);
+  call.request();
+  runUntil([&] { return calls == 2; });
+}
+
+// Guards against a call into an object that was destroyed after it had requested one.
+TEST(Loop, deferredCall_destroyedBeforeCall_dropped)
+{
+  int calls = 0;
+  auto call = std::make_unique<event::DeferredCall>(*loop, [&] { ++calls; });
+  call->request();
+  call.reset();
+  bool over = false;
+  loop->post([&] { over = true; });
+  runUntil([&] { return over; });
+  LONGS_EQUAL(0, calls);
+}
+
+// Guards against a callback that destroys its own call and goes on.
+TEST(Loop, deferredCall_destroyedByItsCallback_callbackGoesOn)
+{
+  std::unique_ptr<event::DeferredCall> call;
+  std::string captured = "kept";
+  bool called = false;
+  call = std::make_unique<event::DeferredCall>(*loop, [&, captured] {
+    call.reset();
+    called = captured == "kept";
+  });
+  call->request();
+  runUntil([&] { return call == nullptr; });
+  CHECK_TRUE(called);
+}
--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -126,14 +126,7 @@
 void
 LeaderTask::onPermitRequested()
 {
-  if (mPermitsPosted) {
-    return;
-  }
-  mPermitsPosted = true;
-  mDependencies.loop.post([this] {
-    mPermitsPosted = false;
-    exchangePermits();
-  });
+  mPermitExchangeCall.request();
 }
 
 void
@@ -234,14 +227,7 @@
 void
 LeaderTask::onDemandIncreased()
 {
-  if (mDemandPosted) {
-    return;
-  }
-  mDemandPosted = true;
-  mDependencies.loop.post([this] {
-    mDemandPosted = false;
-    reportDemand();
-  });
+  mDemandReportCall.request();
 }
 
 void
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -121,6 +121,8 @@
   , mLastLeaderContact(aDependencies.loop.now())
   , mStarted(aDependencies.loop.now())
   , mSuitedToLead(!hasSlowLink(aSettings))
+  , mDemandReportCall(aDependencies.loop, [this] { reportDemand(); })
+  , mPermitExchangeCall(aDependencies.loop, [this] { exchangePermits(); })
 {
 }
 
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -11,6 +11,7 @@
 #include "base/eventlog.h"
 #include "base/metrics.h"
 #include "config/gatewaysettings.h"
+#include "event/deferredcall.h"
 #include "event/loop.h"
 #include "gateway/internal/peercodec.h"
 #include "gateway/internal/permitexchange.h"
@@ -215,8 +216,8 @@
   bool mSuitedToLead;     // the link of this host is fast enough for a leader
   std::string mSuccessor; // named by this host's release; empty: none
   std::optional<Instant> mLastPlan;
-  bool mDemandPosted = false;
-  bool mPermitsPosted = false;
+  event::DeferredCall mDemandReportCall;
+  event::DeferredCall mPermitExchangeCall;
   bool mLeaseRequestFailed = false; // the latest one; logged once per outage
   std::uint64_t mSequence = 0;
   std::uint64_t mLastReportNumber = 0;           // of the demand reports of this host
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -25,6 +25,7 @@
   , mOptions(aOptions)
   , mRandom(aSeed)
   , mHostCount(kAssumedHostCount)
+  , mSendCall(aContext.loop, [this] { sendWaiting(); })
 {
 }
 
@@ -179,14 +180,9 @@
 void
 RequestScheduler::onSlotFreed()
 {
-  if (mWaiting.empty() || mSendPosted) {
-    return;
+  if (!mWaiting.empty()) {
+    mSendCall.request();
   }
-  mSendPosted = true;
-  mContext.loop.post([this] {
-    mSendPosted = false;
-    sendWaiting();
-  });
 }
 
 void
--- a/src/gateway/internal/requestscheduler.h
+++ b/src/gateway/internal/requestscheduler.h
@@ -8,6 +8,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "event/deferredcall.h"
 #include "gateway/internal/requesttask.h"
 #include "link/inboundconnection.h"
 #include "serving/types/placement.h"
@@ -107,7 +108,7 @@
   std::uint32_t mHostCount = 1;
   bool mDraining = false;
   bool mRefusesNew = false;
-  bool mSendPosted = false;
+  event::DeferredCall mSendCall;
 };
 
 } // namespace savoryrill::gateway
