Keep the ports of test peers from other processes

Two tests of PromptQuarantineAcrossHosts failed once each in 16 runs of test-adapter, at the same moment in two processes beside each other: in one a crash was not counted, in the other an upstream got a request that none of its hosts had sent.

Cause: ScriptedPeer listened at a port that the kernel chose. Once a peer has crashed, the kernel gives its port to the next socket that asks, so a check of the crashed upstream found a listener of another process there ('accepts'), and that one got its requests.

Ruled out: too little time between crashes in the test. Beside a build, 36 runs of the group passed; only processes that take ports made it fail.

Change: peers take their ports from the block of their process, as the hosts in tests do already, and a block is held by a listening socket until its process ends, so that two processes whose ids differ by the number of blocks no longer share one.

Evidence: the group PromptQuarantineAcrossHosts, 8 runs beside two processes that take and release 4,000 listening ports 50 times a second. Before: 8 of 8 runs fail, 14 checks in all. After: 8 of 8 pass.

--- a/src/testing/internal/scriptedpeer.cpp
+++ b/src/testing/internal/scriptedpeer.cpp
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace savoryrill::testing {
 
@@ -14,11 +15,37 @@
 
 // Ports handed out to tests lie below those that the kernel gives to other sockets (from
 // 32768 on), which are taken and released all the time. Each process has a block of its
-// own, so that tests that run at the same time do not take each other's.
+// own, so that tests that run at the same time do not take each other's, not even after a
+// peer has stopped listening.
 constexpr std::uint32_t kFirstPort = 12000;
 constexpr std::uint32_t kPortsPerBlock = 100;
 constexpr std::uint32_t kPortBlocks = 200;
 
+/// The block of ports of this process. The first port of the block is listened on until
+/// the process ends, which keeps other processes from choosing the block.
+struct PortBlock
+{
+  link::Socket guard;
+  std::uint32_t firstPort = 0;
+  std::uint32_t handedOut = 0;
+};
+
+PortBlock
+choosePortBlock()
+{
+  const auto start = static_cast<std::uint32_t>(getpid());
+  for (std::uint32_t tries = 0; tries < kPortBlocks; ++tries) {
+    const std::uint32_t block = (start + tries) % kPortBlocks;
+    const std::uint32_t port = kFirstPort + block * kPortsPerBlock;
+    auto guard = link::listenOn({ "127.0.0.1", static_cast<std::uint16_t>(port) });
+    if (guard) {
+      return { std::move(guard.value()), port + 1, 0 };
+    }
+  }
+  // All blocks are taken; `freePort` skips ports that are in use.
+  return { {}, kFirstPort + start % kPortBlocks * kPortsPerBlock + 1, 0 };
+}
+
 std::uint16_t
 boundPort(int aFd)
 {
@@ -118,7 +145,7 @@
 ScriptedPeer::ScriptedPeer(event::Loop& aLoop, Answer aAnswer)
   : mLoop(aLoop)
   , mAnswer(std::move(aAnswer))
-  , mListener(std::move(link::listenOn({ "127.0.0.1", 0 }).value()))
+  , mListener(std::move(link::listenOn({ "127.0.0.1", freePort() }).value()))
   , mPort(boundPort(mListener.fd()))
 {
   mWatch =
@@ -178,11 +205,11 @@
 std::uint16_t
 freePort()
 {
-  static std::uint32_t handed_out = 0;
-  const auto block = static_cast<std::uint32_t>(getpid()) % kPortBlocks;
-  for (std::uint32_t tries = 0; tries < kPortsPerBlock; ++tries) {
-    const auto port = static_cast<std::uint16_t>(kFirstPort + block * kPortsPerBlock +
-                                                 handed_out++ % kPortsPerBlock);
+  static PortBlock block = choosePortBlock();
+  constexpr std::uint32_t kPorts = kPortsPerBlock - 1; // without the guard
+  for (std::uint32_t tries = 0; tries < kPorts; ++tries) {
+    const auto port =
+      static_cast<std::uint16_t>(block.firstPort + block.handedOut++ % kPorts);
     if (link::listenOn({ "127.0.0.1", port })) {
       return port;
     }
--- a/src/testing/scriptedpeer.h
+++ b/src/testing/scriptedpeer.h
@@ -80,8 +80,8 @@
   std::vector<std::string> mRequests;
 };
 
-/// A free port of loopback. Another process takes it before it is used only if it has the
-/// same block of ports. Not thread safe.
+/// A free port of loopback that is not handed out to other processes which call this
+/// function. Not thread safe.
 std::uint16_t
 freePort();
 
