Count crashes by when connections broke, not by when that was checked

Cause: crashes less than 250 ms apart count once, since a loss of power ends many upstreams at the same moment. But the time of a crash was that of the end of its check (up to 400 ms after the break). At a busy host the checks of upstreams that crashed together may end more than 250 ms apart, and then count as separate crashes.

Change: the time of a crash is when the first of the broken connections ended. A part that was served between the crash and the end of its check is not suspected, as before.

Evidence: the new test CrashesAtOnceNoticedLate_CountOnce quarantines a part after six crashes at the same moment if the time of the check is recorded, and not any more with this change.

--- a/src/gateway/internal/quarantinetask.cpp
+++ b/src/gateway/internal/quarantinetask.cpp
@@ -90,9 +90,12 @@
   auto& suspects = mSuspects[upstream];
   suspects.last = mDependencies.loop.now();
   if (suspects.crashed) {
-    recordCrash(upstream, aRequest);
+    recordCrash(upstream, aRequest, *suspects.crashed);
     return;
   }
+  if (suspects.requests.empty()) {
+    suspects.firstBroken = suspects.last;
+  }
   if (suspects.requests.size() < kMaxSuspectsPerUpstream) {
     suspects.requests.push_back({ std::move(aRequest), aResponse });
   }
@@ -124,18 +127,23 @@
   if (aResult != link::Reachability::Refuses) {
     return; // only connections were reset, or the upstream cannot be reached
   }
-  suspects.crashed = mDependencies.loop.now();
+  // Not the time of the check: checks of upstreams that crash at the same moment may end
+  // far apart at a busy host, and would then count as separate crashes.
+  const Instant crashed = suspects.firstBroken;
+  suspects.crashed = crashed;
   mDependencies.metrics.add("savoryrill_gateway_upstream_crashes_total");
   for (const auto& suspect : requests) {
-    recordCrash(aUpstream, suspect.request);
+    recordCrash(aUpstream, suspect.request, crashed);
   }
 }
 
 void
 QuarantineTask::recordCrash(const std::string& aUpstream,
-                            const PromptQuarantine::BrokenRequest& aRequest)
+                            const PromptQuarantine::BrokenRequest& aRequest,
+                            Instant aCrashed)
 {
-  changed(mQuarantine.recordCrash(aUpstream, aRequest, mDependencies.loop.now()));
+  changed(
+    mQuarantine.recordCrash(aUpstream, aRequest, aCrashed, mDependencies.loop.now()));
 }
 
 void
--- a/src/gateway/internal/quarantinetask.h
+++ b/src/gateway/internal/quarantinetask.h
@@ -77,12 +77,14 @@
   {
     std::vector<Suspect> requests;
     bool checking = false;
-    std::optional<Instant> crashed; // confirmed
+    Instant firstBroken{};          // of the requests above
+    std::optional<Instant> crashed; // when its connections broke, once confirmed
     Instant last{};                 // request that broke
   };
   void upstreamChecked(const std::string& aUpstream, link::Reachability aResult);
   void recordCrash(const std::string& aUpstream,
-                   const serving::PromptQuarantine::BrokenRequest& aRequest);
+                   const serving::PromptQuarantine::BrokenRequest& aRequest,
+                   Instant aCrashed);
   void changed(const Evidence& aEvidence);
   void logDecisions();
   void tick();
--- a/src/serving/internal/promptquarantine.cpp
+++ b/src/serving/internal/promptquarantine.cpp
@@ -213,19 +213,20 @@
 std::vector<PartEvidence>
 PromptQuarantine::recordCrash(const std::string& aUpstream,
                               const BrokenRequest& aRequest,
+                              Instant aCrashed,
                               Instant aNow)
 {
   std::vector<std::string> changed;
   for (std::uint32_t position = 0; position < aRequest.parts.size(); ++position) {
     const auto& name = aRequest.parts[position];
     const auto served = lastServed(name);
-    if ((served && aNow - *served < kServedJustBefore) ||
+    if ((served && aCrashed - *served < kServedJustBefore) ||
         isExplained(aUpstream, name, aNow)) {
       continue;
     }
     auto& part = partFor(name, aNow);
     if (addCrash(part.evidence.crashes,
-                 { aUpstream, aRequest.id, aRequest.model, position, aNow })) {
+                 { aUpstream, aRequest.id, aRequest.model, position, aCrashed })) {
       changed.push_back(name);
       if (inQuarantine(part.evidence, aNow)) {
         dropExplainedCrashes(part.evidence, aNow);
--- a/src/serving/promptquarantine.h
+++ b/src/serving/promptquarantine.h
@@ -42,10 +42,11 @@
     std::vector<std::string> parts; // in the order of the prompt
   };
 
-  /// Records the crash of `aUpstream`, which names one incarnation. Returns the evidence
-  /// that other hosts need.
+  /// Records the crash of `aUpstream`, which names one incarnation, at `aCrashed`.
+  /// Returns the evidence that other hosts need. Precondition: `aCrashed` <= `aNow`.
   std::vector<PartEvidence> recordCrash(const std::string& aUpstream,
                                         const BrokenRequest& aRequest,
+                                        Instant aCrashed,
                                         Instant aNow);
 
   /// Records that an upstream has answered a request with these parts without crashing.
--- a/src/serving/tests/promptquarantinetest.cpp
+++ b/src/serving/tests/promptquarantinetest.cpp
@@ -30,6 +30,7 @@
                                    { aRequest.empty() ? "r" + id : aRequest,
                                      aModel.empty() ? "m" + id : aModel,
                                      std::move(aParts) },
+                                   now,
                                    now);
   }
 
@@ -81,8 +82,9 @@
   for (int crashed = 0; crashed < 5; ++crashed) {
     const auto upstream = "v" + std::to_string(crashed);
     const auto request = std::to_string(crashed);
-    quarantine.recordCrash(upstream, { "b" + request, "m", { "bystander" } }, now);
-    quarantine.recordCrash(upstream, { "d" + request, "m" + request, { kDeadly } }, now);
+    quarantine.recordCrash(upstream, { "b" + request, "m", { "bystander" } }, now, now);
+    quarantine.recordCrash(
+      upstream, { "d" + request, "m" + request, { kDeadly } }, now, now);
     now += 1s;
   }
   CHECK_TRUE(isRefused({ kDeadly }));
@@ -161,8 +163,9 @@
 {
   for (int host = 0; host < 10; ++host) {
     PromptQuarantine other{ 0.0 };
-    const auto evidence = other.recordCrash(
-      "u#1", { "r" + std::to_string(host), "m" + std::to_string(host), { "part" } }, now);
+    const auto id = std::to_string(host);
+    const auto evidence =
+      other.recordCrash("u#1", { "r" + id, "m" + id, { "part" } }, now, now);
     quarantine.merge(evidence, now);
     now += 1s;
   }
@@ -273,6 +276,31 @@
   CHECK_FALSE(isRefused({ kDeadly }));
 }
 
+// Guards against a quarantine after a loss of power that a busy host notices upstream by
+// upstream.
+TEST(PromptQuarantine, CrashesAtOnceNoticedLate_CountOnce)
+{
+  const Instant crashed = now;
+  for (int upstream = 0; upstream < 6; ++upstream) {
+    const auto id = std::to_string(upstream);
+    now += 300ms;
+    quarantine.recordCrash("u" + id, { "r" + id, "m" + id, { "popular" } }, crashed, now);
+  }
+  CHECK_FALSE(isRefused({ "popular" }));
+}
+
+// Guards against a quarantine of a part that was served while a crash was checked.
+TEST(PromptQuarantine, ServedBetweenCrashAndItsCheck_NotCounted)
+{
+  crashSome(2, { "popular" });
+  const Instant crashed = now;
+  quarantine.recordServed({ "popular" }, now + 100ms);
+  now += 200ms;
+  quarantine.recordCrash("late", { "late", "late", { "popular" } }, crashed, now);
+  CHECK_FALSE(isRefused({ "popular" }));
+  LONGS_EQUAL(0, quarantine.evidence(now).size());
+}
+
 // Guards against evidence that stays when no crash has followed.
 TEST(PromptQuarantine, NoFurtherCrash_Forgotten)
 {
