Do not take a rejected request for one that was answered

Cause: each response below 500 cleared the evidence against the parts of its request. An upstream can reject a request (400, 413) without having begun to answer its prompt, which says nothing about the part.

Change: only a success shows that an upstream survived the answer.

Evidence: the new test PartIsRejectedBetweenCrashes_CrashesStillCount. Before, the request after the third crash crashes a fourth upstream; now it is refused.

--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -47,6 +47,12 @@
   return text;
 }
 
+bool
+isSuccess(int aStatus)
+{
+  return aStatus / 100 == 2;
+}
+
 std::string
 seriesOf(std::string_view aName, std::string_view aLabel, std::string_view aValue)
 {
@@ -179,7 +185,8 @@
 void
 RequestTask::recordServed()
 {
-  if (!mServedRecorded) {
+  // An upstream may send another status without having begun to answer the prompt.
+  if (isSuccess(mHead.status) && !mServedRecorded) {
     mServedRecorded = true;
     mContext.quarantine.requestServed(mDetails.sharedParts);
   }
@@ -326,7 +333,7 @@
 {
   mHead = aHead;
   recordUpstreamState();
-  const bool success = aHead.status / 100 == 2;
+  const bool success = isSuccess(aHead.status);
   // Not forwarded: a response that says that the upstream did not execute the request or
   // is not the intended one, a response without signature or this request's id, and a
   // response other than a successful event stream to an attempt that resumes a stream.
@@ -515,7 +522,7 @@
     }
   } else {
     mContext.selector.recordSuccess(mUpstream);
-    if (mHead.framing == link::Framing::UntilClose) {
+    if (isSuccess(status) && mHead.framing == link::Framing::UntilClose) {
       recordConnectionEnd(QuarantineTask::Response::PossiblyComplete);
     } else {
       recordServed();
