Read the quarantined prompt parts while a host hears from no leader

Cause: hosts hear of crashes from other hosts only; the row of the store, which the leader keeps, was read once, at the start.

Change: after a second without a connection to a leader, a host reads the row each second. A former leader to which the hosts stay connected while the store is away counts as a leader here, so an outage of the store adds no calls.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -157,6 +157,9 @@
     applyListUpdate(aUpdate, aAsOf);
   };
   handlers.onLeadershipChanged = [this](bool aLeads) { onLeadershipChanged(aLeads); };
+  handlers.onLeaderContactChanged = [this](bool aContact) {
+    mQuarantine.setLeaderContact(aContact);
+  };
   handlers.promptEvidence = [this] { return mQuarantine.evidence(); };
   handlers.onPromptEvidenceReceived = [this](const QuarantineTask::Evidence& aEvidence) {
     return mQuarantine.merge(aEvidence);
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -29,9 +29,9 @@
 // that other hosts can read the row twice before.
 constexpr double kMinLeaderLinkMbps = 50;
 constexpr Duration kSlowLinkTakeDelay = 1s;
-// Time without a connection to a leader after which this host connects to other hosts. A
-// change of leaders mostly takes less.
-constexpr Duration kSubstitutesAfter = 1s;
+// Time without a connection to a leader after which this host looks for other sources of
+// news. A change of leaders mostly takes less.
+constexpr Duration kLeaderContactMissing = 1s;
 // Terms are random numbers from 1 up to this value.
 constexpr std::uint64_t kMaxTerm = 0xFFFFFFFFFFFFULL;
 
@@ -220,6 +220,7 @@
 {
   stepLease();
   updateLeadership();
+  updateLeaderContact();
   updateSubstitutes();
   exchangePermits();
   const auto now = mDependencies.loop.now();
@@ -386,16 +387,27 @@
 }
 
 void
-LeaderTask::updateSubstitutes()
+LeaderTask::updateLeaderContact()
 {
   const auto now = mDependencies.loop.now();
   if (mLeading || isConnectedToLeader()) {
     mLastLeaderContact = now;
   }
-  const bool needed = now - mLastLeaderContact > kSubstitutesAfter;
+  const bool contact = now - mLastLeaderContact <= kLeaderContactMissing;
+  if (contact != mLeaderContact) {
+    mLeaderContact = contact;
+    mHandlers.onLeaderContactChanged(contact);
+  }
+}
+
+void
+LeaderTask::updateSubstitutes()
+{
+  const bool needed = !mLeaderContact;
   if (needed == mSubstitutesInUse || (needed && mSubstitutes.empty())) {
     return;
   }
+  const auto now = mDependencies.loop.now();
   mSubstitutesInUse = needed;
   mDependencies.log.write(kSubstitutesUsed,
                           { { "used", needed ? "yes" : "no" },
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -67,6 +67,9 @@
       onUpstreamListReceived;
     /// This host has become the leader (true) or has stopped being it (false).
     std::function<void(bool)> onLeadershipChanged;
+    /// This host has been without a connection to a leader for a while (false), or has
+    /// one again or leads (true).
+    std::function<void(bool)> onLeaderContactChanged;
     /// Returns the evidence against prompt parts that a newly connected host should have.
     std::function<std::vector<serving::PartEvidence>()> promptEvidence;
     /// Another host has sent evidence against prompt parts; returns what to send on.
@@ -122,6 +125,7 @@
   void recordBadEntry(const transport::RemotePeer& aPeer, const Error& aError);
   void connectToLeader();
   bool isConnectedToLeader() const;
+  void updateLeaderContact();
   /// Connects to some other hosts while there is no leader, so that news still reaches
   /// all of them.
   void updateSubstitutes();
@@ -206,6 +210,7 @@
   std::vector<std::string> mSubstitutes; // endpoints, named by the leader
   bool mSubstitutesInUse = false;
   Instant mLastLeaderContact;
+  bool mLeaderContact = true; // false once it has been missing for a while
   std::optional<Instant> mSubstitutesSent;
   std::string mKnownLeader;
   bool mLeading = false;
--- a/src/gateway/internal/quarantinetask.cpp
+++ b/src/gateway/internal/quarantinetask.cpp
@@ -17,6 +17,8 @@
 constexpr const char* kQuarantineTable = "savoryrill-quarantine";
 constexpr const char* kQuarantineKey = "prompt-parts";
 constexpr Duration kTickPeriod = 500ms;
+// Time between reads of the row without a connection to a leader.
+constexpr Duration kReadPeriod = 1s;
 // A process that has crashed refuses connections at once; an upstream that needs longer
 // to answer is not counted as crashed.
 constexpr Duration kCheckTimeout = 400ms;
@@ -213,7 +215,7 @@
   });
   mQuarantine.expire(now);
   logDecisions();
-  if (!mRowRead) {
+  if (!mRowRead || (!mLeaderContact && now - mLastRead >= kReadPeriod)) {
     readRow();
   } else {
     writeRow();
@@ -227,6 +229,7 @@
     return;
   }
   mCallInProgress = true;
+  mLastRead = mDependencies.loop.now();
   mDependencies.store.readRow(
     kQuarantineTable, kQuarantineKey, [this](Result<std::optional<StoredRow>> aRow) {
       mCallInProgress = false;
--- a/src/gateway/internal/quarantinetask.h
+++ b/src/gateway/internal/quarantinetask.h
@@ -19,8 +19,10 @@
 
 /// Keeps requests away from upstreams if a part of their prompt crashes them. Decides
 /// with the other hosts (`serving::PromptQuarantine`), finds out whether an upstream that
-/// broke off has crashed, and keeps quarantined parts in a row of the store, from which a
-/// host reads them at its start. The leader of placement writes the row. Not thread safe.
+/// broke off has crashed, and keeps quarantined parts in a row of the store. The leader
+/// of placement writes the row; a host reads it at its start, and regularly while it has
+/// no connection to a leader, since it may then be cut off from all other hosts. Not
+/// thread safe.
 class QuarantineTask
 {
 public:
@@ -43,6 +45,8 @@
   void start();
   /// Whether this host leads, and so writes the row.
   void setLeading(bool aLeading);
+  /// Whether this host leads or is connected with the leader.
+  void setLeaderContact(bool aContact) { mLeaderContact = aContact; }
 
   /// What the end of a connection says about the response.
   enum class Response
@@ -100,6 +104,8 @@
   std::map<std::string, Suspects> mSuspects; // by incarnation of an upstream
   event::Watch mTimer;
   bool mLeading = false;
+  bool mLeaderContact = true;
+  Instant mLastRead{}; // when the last read of the row began
   bool mCallInProgress = false;
   bool mRowKnown = false; // its version is that of the last read or write
   bool mRowRead = false;  // since the start
