Test an earlier refusal on a kept connection at the router's client

At the router, requests that may not be repeated have a connection each, so that an earlier refusal is not taken for theirs; the new test fails with a kept connection and passes with a new one.

Found with it: libcurl takes an earlier response on a kept connection for that of the next request. Repeatable requests of the router share connections, so a late copy could reach another caller there.

--- a/src/http/tests/servertest.cpp
+++ b/src/http/tests/servertest.cpp
@@ -8,6 +8,7 @@
 
 #include "http/client.h"
 #include "http/server.h"
+#include "testing/scriptedpeer.h"
 
 using namespace savoryrill;
 
@@ -335,6 +336,47 @@
   LONGS_EQUAL(2, server.requests);
 }
 
+// Guards against an earlier refusal that a faulty upstream sends once more on a kept
+// connection, and that is taken for the refusal of a request which may have run.
+TEST(HttpClient, freshConnection_earlierRefusalRepeated_ownResponseReceived)
+{
+  auto loop = std::move(event::Loop::create().value());
+  auto client = std::move(http::Client::create(*loop).value());
+  const std::string refusal =
+    testing::rawResponse(503, "Content-Type: application/json\r\n", R"({"ran":"no"})");
+  testing::ScriptedPeer* server = nullptr;
+  testing::ScriptedPeer peer(
+    *loop, [&](testing::RawConnection& aConnection, const std::string& aRequest) {
+      if (aRequest.starts_with("GET /refused")) {
+        aConnection.send(refusal);
+        return;
+      }
+      server->connection(0).send(
+        refusal); // on the kept connection of the earlier request
+      aConnection.send(testing::rawResponse(200, "", "done"));
+    });
+  server = &peer;
+  auto perform = [&](const std::string& aMethod, const std::string& aPath) {
+    std::optional<http::ClientOutcome> outcome;
+    http::ClientRequest request;
+    request.method = aMethod;
+    request.url = "http://127.0.0.1:" + std::to_string(peer.port()) + aPath;
+    request.freshConnection = aMethod == "POST";
+    http::ClientCallbacks callbacks;
+    callbacks.onDone = [&](http::ClientOutcome aOutcome) {
+      outcome = std::move(aOutcome);
+    };
+    const auto handle = client->start(request, callbacks);
+    while (!outcome) {
+      loop->runOnce(true);
+    }
+    return outcome->response ? outcome->response.value().status : 0;
+  };
+  LONGS_EQUAL(503, perform("GET", "/refused"));
+  LONGS_EQUAL(200, perform("POST", "/order"));
+  LONGS_EQUAL(2, peer.connections());
+}
+
 // Guards against a transport error that is taken for a response, and against a request
 // that is reported as sent although no connection existed.
 TEST(HttpClient, nothingListening_request_failsAsNotSent)
