Divide rates also while hosts are cut off or leaders change

Cause: a leader took the hosts that it reaches at a moment for all hosts.

Change: serving::SharingHosts remembers the largest number of hosts of the last 30 s. Each host issues only the part of the rate for hosts that request permits from it, leaders included; hosts without an issuer use their part of the same number.

Evidence: MostHostsAreCutOff_SumIsWithinRate. What is given up: for 30 s after hosts were removed, their part of limited rates is unused.

--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -140,24 +140,36 @@
 {
   PermitExchange::Role role;
   role.issues = mLeading;
-  role.hostCount = mHostCount > 0 ? mHostCount : kUnknownHostCount;
-  std::set<std::string> connected{ mSettings.host };
+  role.hostCount = mSharingHosts.count() > 0 ? mSharingHosts.count() : kUnknownHostCount;
   for (const auto& [id, peer_host] : mPeerHosts) {
     const auto& peer = peer_host.peer;
-    connected.insert(peer.host);
     if (!mLeading && peer.outgoing && peer.endpoint == mConnectedTo) {
       role.issuer = peer.host;
     }
   }
-  if (!mLeading) {
-    // A former leader serves the hosts that are still connected. The others may have
-    // heard of another leader, which issues permits at the same time.
-    const auto count = static_cast<double>(connected.size());
-    role.share = count / std::max<double>(count, mHostCount);
-  }
+  // Not the whole rate, also for a leader: hosts that it does not reach use a part, or
+  // have permits of a former leader or of one that it has not heard of.
+  role.share = mSharingHosts.shareOf(countServedHosts());
   return role;
 }
 
+std::uint32_t
+LeaderTask::countServedHosts() const
+{
+  // Hosts report their demand only to the host that they request permits from.
+  const auto others = std::ranges::count_if(mPeerHosts, [](const auto& aItem) {
+    return !aItem.second.peer.outgoing && aItem.second.reportNumber > 0;
+  });
+  return static_cast<std::uint32_t>(others) + (mLeading ? 1 : 0);
+}
+
+void
+LeaderTask::setHostCount(std::uint32_t aCount)
+{
+  mHostCount = aCount;
+  mSharingHosts.record(aCount, mDependencies.loop.now());
+}
+
 void
 LeaderTask::receivePermits(const transport::RemotePeer& aPeer,
                            const std::string& aPayload)
@@ -386,7 +398,7 @@
   mDependencies.selector.setBacklogs(aStatus.backlogs, aNow);
   mDependencies.selector.setLoads(aStatus.loads);
   mDependencies.selector.limits().setReported(aStatus.limits, aNow);
-  mHostCount = aStatus.hostCount;
+  setHostCount(aStatus.hostCount);
   mHandlers.onHostCountReceived(aStatus.hostCount);
   mHandlers.onConfigVersionReceived(aStatus.configVersion);
 }
@@ -564,7 +576,7 @@
   const auto now = mDependencies.loop.now();
   collectChangedViews(now);
   mDependencies.selector.recordLeaderUpdate(now);
-  mHostCount = static_cast<std::uint32_t>(mPeerHosts.size()) + 1;
+  setHostCount(static_cast<std::uint32_t>(mPeerHosts.size()) + 1);
   sendViews(now);
   if (!mLastStatus || now - *mLastStatus >= kStatusPeriod) {
     mLastStatus = now;
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -22,6 +22,7 @@
 #include "serving/leadership.h"
 #include "serving/placementplanner.h"
 #include "serving/promptquarantine.h"
+#include "serving/sharinghosts.h"
 #include "serving/upstreamlistchanges.h"
 #include "transport/peernetwork.h"
 
@@ -138,6 +139,9 @@
                              const std::string& aPayload);
   void exchangePermits();
   PermitExchange::Role permitRole() const;
+  /// Number of hosts that request their permits from this one.
+  std::uint32_t countServedHosts() const;
+  void setHostCount(std::uint32_t aCount);
   void receivePermits(const transport::RemotePeer& aPeer, const std::string& aPayload);
   void sendPermits(const std::string& aHost, const PermitMessage& aMessage);
 
@@ -227,7 +231,8 @@
   std::uint64_t mSequence = 0;
   std::uint64_t mLastReportNumber = 0;           // of the demand reports of this host
   std::map<std::uint64_t, Instant> mReportTimes; // when recent reports were sent
-  std::uint32_t mHostCount = 0;
+  std::uint32_t mHostCount = 0;                  // that exchange demand at this moment
+  serving::SharingHosts mSharingHosts;
   std::optional<Instant> mLastDemandReport;
   std::optional<Instant> mLastStatus;
   std::optional<Instant> mLastViews;
--- a/src/gateway/internal/permitexchange.h
+++ b/src/gateway/internal/permitexchange.h
@@ -36,7 +36,7 @@
     std::string issuer;  // host to ask otherwise; empty: none can be reached
     /// Part of the rates that this host may issue, from 0 to 1.
     double share = 1;
-    std::uint32_t hostCount = 1; // that share the rates without an issuing host
+    std::uint32_t hostCount = 1; // that share the rates
   };
   using Send = std::function<void(const std::string& aHost, const PermitMessage&)>;
 
--- a/src/serving/tests/permitstest.cpp
+++ b/src/serving/tests/permitstest.cpp
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "serving/permitissuer.h"
+#include "serving/sharinghosts.h"
 #include "serving/upstreamlimits.h"
 
 using namespace savoryrill;
@@ -71,6 +72,50 @@
   CHECK_TRUE(permits["a"] >= 9 && permits["b"] >= 9 && permits["c"] >= 9);
 }
 
+// Guards against a sum above the rate while hosts that use their own part of it are cut
+// off from a leader which goes on issuing permits.
+TEST(PermitIssuer, MostHostsAreCutOff_SumIsWithinRate)
+{
+  constexpr std::uint32_t kHosts = 9;
+  constexpr double kPerSecond = 10;
+  serving::SharingHosts sharing;
+  sharing.record(kHosts, now);
+  now += 1s;
+  sharing.record(1, now); // the leader sees no other host any more
+  std::vector<UpstreamLimits> others(kHosts - 1, UpstreamLimits{ 0.0 });
+  for (auto& limits : others) {
+    limits.setNamed(kUpstream, kPerSecond, now);
+  }
+  std::uint32_t sent = 0;
+  for (const Instant end = now + 4s; now < end; now += 50ms) {
+    request("leader", kPerSecond);
+    for (const auto& issued : issuer.issue(sharing.shareOf(1), now)) {
+      sent += issued.grant.count;
+    }
+    for (auto& limits : others) {
+      limits.accrueOwnShare(sharing.count(), now);
+      while (limits.permits(kUpstream, now)) {
+        limits.use(kUpstream, now);
+        ++sent;
+      }
+    }
+  }
+  CHECK_TRUE(sent <= 4 * kPerSecond);
+  CHECK_TRUE(sent >= 2.5 * kPerSecond);
+}
+
+// Guards against a part of the rate that stays unused after hosts were removed.
+TEST(PermitIssuer, HostsWereRemoved_RestSharesWholeRate)
+{
+  serving::SharingHosts sharing;
+  sharing.record(9, now);
+  now += serving::SharingHosts::kMemory + 1s;
+  sharing.record(6, now);
+  DOUBLES_EQUAL(1.0, sharing.shareOf(6), 1e-9);
+  sharing.record(8, now);
+  DOUBLES_EQUAL(0.75, sharing.shareOf(6), 1e-9);
+}
+
 // Guards against permits that are saved up while nobody needs them and then used at once.
 TEST(PermitIssuer, NobodyRequestsForLong_NoBurstAfterwards)
 {
