Forget the prompt parts served longest ago first

Cause: a host remembers 8,192 parts that were served lately. With more of them in a minute it forgot all, and a part that was served a moment ago then needed three crashes instead of six, and a crash right after it was served counted.

Change: the half that was served longest ago is forgotten.

Evidence: the new test VeryManyPartsServed_LatestRemembered fails before.

--- a/src/serving/internal/promptquarantine.cpp
+++ b/src/serving/internal/promptquarantine.cpp
@@ -267,13 +267,26 @@
     std::erase_if(mServed,
                   [&](const auto& aItem) { return aNow - aItem.second > kServedLately; });
     if (mServed.size() >= kMaxServed) {
-      mServed.clear();
+      dropLongestUnserved();
     }
   }
   auto& served = mServed[aPart];
   served = std::max(served, aServed);
 }
 
+void
+PromptQuarantine::dropLongestUnserved()
+{
+  std::vector<Instant> times;
+  times.reserve(mServed.size());
+  for (const auto& [name, served] : mServed) {
+    times.push_back(served);
+  }
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::ranges::nth_element(times, middle);
+  std::erase_if(mServed, [&](const auto& aItem) { return aItem.second <= *middle; });
+}
+
 bool
 PromptQuarantine::applyServed(const std::string& aPart, Instant aServed)
 {
--- a/src/serving/promptquarantine.h
+++ b/src/serving/promptquarantine.h
@@ -132,6 +132,8 @@
   /// Merges crashes and quarantine; true if something is new.
   bool mergeSuspicion(const PartEvidence& aEvidence, Instant aNow);
   void rememberServed(const std::string& aPart, Instant aServed, Instant aNow);
+  /// Forgets the half of the served parts that were served longest ago.
+  void dropLongestUnserved();
   void makeRoom(Instant aNow);
 
   double mExpirySpread;
--- a/src/serving/tests/promptquarantinetest.cpp
+++ b/src/serving/tests/promptquarantinetest.cpp
@@ -326,6 +326,23 @@
   CHECK_TRUE(isRefused({ kDeadly }));
 }
 
+// Guards against crashes with other causes that condemn a part in constant use, since so
+// many others were served that it was forgotten.
+TEST(PromptQuarantine, VeryManyPartsServed_LatestRemembered)
+{
+  for (int part = 0; part < 8192; ++part) {
+    now += 1ms;
+    quarantine.recordServed({ "s" + std::to_string(part) }, now);
+  }
+  quarantine.recordServed({ "one more" }, now);
+  now += 1500ms;
+  for (int crashed = 0; crashed < 5; ++crashed) {
+    crash(quarantine, { "s8191" });
+    now += 300ms;
+  }
+  CHECK_FALSE(isRefused({ "s8191" }));
+}
+
 TEST(PromptQuarantine, Decisions_Explained)
 {
   crashSome(3, { kDeadly });
