Keep the last limit if a response names it unreadably

Cause: a limit that is no number (for example '1,5') was read as no limit, and a signed response without a limit lifts it, so the upstream got the full load again.

Change: such a response changes nothing; savoryrill_gateway_unreadable_limits_total counts it.

--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -371,6 +371,11 @@
 void
 RequestTask::recordRateLimit()
 {
+  if (mMetadata.rateLimitUnreadable) {
+    // The last limit that could be read stays in force.
+    mContext.metrics.add("savoryrill_gateway_unreadable_limits_total");
+    return;
+  }
   const auto& limit = mMetadata.rateLimit;
   if (!limit && !mMetadata.isSigned) {
     return; // not necessarily a response of the upstream itself
--- a/src/gateway/iprotocol.h
+++ b/src/gateway/iprotocol.h
@@ -33,6 +33,7 @@
   bool leaving = false;       // the upstream is about to stop
   /// Requests a second that the upstream takes, from all hosts together.
   std::optional<double> rateLimit;
+  bool rateLimitUnreadable = false; // it names a limit that is not a valid number
   /// Time for which the upstream wants no request from this host.
   std::optional<Duration> retryAfter;
 };
