--- a/src/http/tests/servertest.cpp
+++ b/src/http/tests/servertest.cpp
@@ -303,21 +303,32 @@
   std::map<int, event::Watch> watches;
 };
 
-TEST_GROUP(HttpClient){};
-
-// Guards against a request that runs twice: if a reused connection is closed without a
-// response, libcurl sends the request again by itself.
-TEST(HttpClient, freshConnection_peerClosesWithoutResponse_sentOnce)
+TEST_GROUP(HttpClient)
 {
-  auto loop = std::move(event::Loop::create().value());
-  auto client = std::move(http::Client::create(*loop).value());
-  ClosingServer server(*loop);
-  auto perform = [&](bool aFresh) {
+  std::unique_ptr<event::Loop> loop;
+  std::unique_ptr<http::Client> client;
+
+  void setup() override
+  {
+    loop = std::move(event::Loop::create().value());
+    client = std::move(http::Client::create(*loop).value());
+  }
+
+  void teardown() override
+  {
+    client.reset();
+    loop.reset();
+  }
+
+  /// Sends a request and waits for its outcome.
+  http::ClientOutcome perform(
+    const std::string& aMethod, const std::string& aUrl, bool aFreshConnection)
+  {
     std::optional<http::ClientOutcome> outcome;
     http::ClientRequest request;
-    request.method = "POST";
-    request.url = server.url;
-    request.freshConnection = aFresh;
+    request.method = aMethod;
+    request.url = aUrl;
+    request.freshConnection = aFreshConnection;
     http::ClientCallbacks callbacks;
     callbacks.onDone = [&](http::ClientOutcome aOutcome) {
       outcome = std::move(aOutcome);
@@ -327,10 +338,18 @@
       loop->runOnce(true);
     }
     return std::move(*outcome);
-  };
-  CHECK(perform(false).response.has_value()); // leaves a connection to reuse
+  }
+};
+
+// Guards against a request that runs twice: if a reused connection is closed without a
+// response, libcurl sends the request again by itself.
+TEST(HttpClient, freshConnection_peerClosesWithoutResponse_sentOnce)
+{
+  ClosingServer server(*loop);
+  CHECK(perform("POST", server.url, false)
+          .response.has_value()); // leaves a connection to reuse
   server.closeFirst = true;
-  const auto outcome = perform(true);
+  const auto outcome = perform("POST", server.url, true);
   CHECK_FALSE(outcome.response.has_value());
   CHECK(outcome.requestSent);
   LONGS_EQUAL(2, server.requests);
@@ -340,8 +359,6 @@
 // connection, and that is taken for the refusal of a request which may have run.
 TEST(HttpClient, freshConnection_earlierRefusalRepeated_ownResponseReceived)
 {
-  auto loop = std::move(event::Loop::create().value());
-  auto client = std::move(http::Client::create(*loop).value());
   const std::string refusal =
     testing::rawResponse(503, "Content-Type: application/json\r\n", R"({"ran":"no"})");
   testing::ScriptedPeer* server = nullptr;
@@ -356,24 +373,13 @@
       aConnection.send(testing::rawResponse(200, "", "done"));
     });
   server = &peer;
-  auto perform = [&](const std::string& aMethod, const std::string& aPath) {
-    std::optional<http::ClientOutcome> outcome;
-    http::ClientRequest request;
-    request.method = aMethod;
-    request.url = "http://127.0.0.1:" + std::to_string(peer.port()) + aPath;
-    request.freshConnection = aMethod == "POST";
-    http::ClientCallbacks callbacks;
-    callbacks.onDone = [&](http::ClientOutcome aOutcome) {
-      outcome = std::move(aOutcome);
-    };
-    const auto handle = client->start(request, callbacks);
-    while (!outcome) {
-      loop->runOnce(true);
-    }
-    return outcome->response ? outcome->response.value().status : 0;
+  const auto status_of = [&](const std::string& aMethod, const std::string& aPath) {
+    const auto url = "http://127.0.0.1:" + std::to_string(peer.port()) + aPath;
+    const auto outcome = perform(aMethod, url, aMethod == "POST");
+    return outcome.response ? outcome.response.value().status : 0;
   };
-  LONGS_EQUAL(503, perform("GET", "/refused"));
-  LONGS_EQUAL(200, perform("POST", "/order"));
+  LONGS_EQUAL(503, status_of("GET", "/refused"));
+  LONGS_EQUAL(200, status_of("POST", "/order"));
   LONGS_EQUAL(2, peer.connections());
 }
 
@@ -381,17 +387,7 @@
 // that is reported as sent although no connection existed.
 TEST(HttpClient, nothingListening_request_failsAsNotSent)
 {
-  auto loop = std::move(event::Loop::create().value());
-  auto client = std::move(http::Client::create(*loop).value());
-  std::optional<http::ClientOutcome> outcome;
-  http::ClientRequest request;
-  request.url = "http://127.0.0.1:1/";
-  http::ClientCallbacks callbacks;
-  callbacks.onDone = [&](http::ClientOutcome aOutcome) { outcome = std::move(aOutcome); };
-  const auto handle = client->start(request, callbacks);
-  while (!outcome) {
-    loop->runOnce(true);
-  }
-  CHECK_FALSE(outcome->response.has_value());
-  CHECK_FALSE(outcome->requestSent);
+  const auto outcome = perform("GET", "http://127.0.0.1:1/", false);
+  CHECK_FALSE(outcome.response.has_value());
+  CHECK_FALSE(outcome.requestSent);
 }
