--- a/src/serving/internal/promptquarantine.cpp
+++ b/src/serving/internal/promptquarantine.cpp
@@ -121,7 +121,7 @@
 }
 
 bool
-PromptQuarantine::isOnProbation(const PartEvidence& aEvidence, Instant aNow) const
+PromptQuarantine::isHalfOpen(const PartEvidence& aEvidence, Instant aNow) const
 {
   return aEvidence.quarantinedUntil && !inQuarantine(aEvidence, aNow) &&
          aNow < endOfQuarantine(aEvidence) + aEvidence.quarantineTime;
@@ -131,7 +131,7 @@
 PromptQuarantine::isOutdated(const PartEvidence& aEvidence, Instant aNow) const
 {
   if (aEvidence.quarantinedUntil) {
-    return !inQuarantine(aEvidence, aNow) && !isOnProbation(aEvidence, aNow);
+    return !inQuarantine(aEvidence, aNow) && !isHalfOpen(aEvidence, aNow);
   }
   return aEvidence.crashes.empty() || aNow - aEvidence.crashes.back().at > kEvidenceTime;
 }
@@ -151,12 +151,12 @@
 }
 
 bool
-PromptQuarantine::isConvicted(const PartEvidence& aEvidence, Instant aNow) const
+PromptQuarantine::hasEnoughEvidence(const PartEvidence& aEvidence, Instant aNow) const
 {
   if (aEvidence.crashes.empty() || inQuarantine(aEvidence, aNow)) {
     return false;
   }
-  if (isOnProbation(aEvidence, aNow)) {
+  if (isHalfOpen(aEvidence, aNow)) {
     return aEvidence.crashes.back().at >= *aEvidence.quarantinedUntil;
   }
   if (aEvidence.crashes.size() < kCrashesToQuarantine) {
@@ -362,7 +362,7 @@
     // the last one is the most specific, so that the fewest requests are refused.
     Part* worst = nullptr;
     for (auto& [name, part] : mParts) {
-      if (!isConvicted(part.evidence, aNow)) {
+      if (!hasEnoughEvidence(part.evidence, aNow)) {
         continue;
       }
       const auto rank = [](const PartEvidence& aEvidence) {
@@ -473,7 +473,7 @@
     if (inQuarantine(part.evidence, aNow)) {
       return Refusal{ name, endOfQuarantine(part.evidence) - aNow };
     }
-    if (!isOnProbation(part.evidence, aNow) || part.probe == aRequest) {
+    if (!isHalfOpen(part.evidence, aNow) || part.probe == aRequest) {
       continue;
     }
     if (!part.probe.empty() && aNow < part.probeUntil) {
--- a/src/serving/promptquarantine.h
+++ b/src/serving/promptquarantine.h
@@ -115,13 +115,15 @@
   Part& partFor(const std::string& aPart, Instant aNow);
   Instant endOfQuarantine(const PartEvidence& aEvidence) const;
   bool inQuarantine(const PartEvidence& aEvidence, Instant aNow) const;
-  bool isOnProbation(const PartEvidence& aEvidence, Instant aNow) const;
+  /// True for a time after a quarantine, in which one request at a time is let through.
+  bool isHalfOpen(const PartEvidence& aEvidence, Instant aNow) const;
   bool isOutdated(const PartEvidence& aEvidence, Instant aNow) const;
   /// True if another part that is in quarantine explains the crash.
   bool isExplained(const std::string& aUpstream,
                    const std::string& aPart,
                    Instant aNow) const;
-  bool isConvicted(const PartEvidence& aEvidence, Instant aNow) const;
+  /// True if the crashes suffice for a quarantine.
+  bool hasEnoughEvidence(const PartEvidence& aEvidence, Instant aNow) const;
   void quarantine(Part& aPart, Instant aNow);
   /// Quarantines all parts against which there is enough evidence; returns their names.
   std::vector<std::string> decide(Instant aNow);
--- a/src/serving/upstreamlimits.h
+++ b/src/serving/upstreamlimits.h
@@ -54,9 +54,8 @@
   /// Permits for which no request came. They are no longer this host's.
   std::vector<PermitGrant> takeUnused(Instant aNow);
 
-  /// Accrues permits without an issuing host: a share of the rate, for a request at a
-  /// time.
-  /// Call it regularly while no host issues permits.
+  /// Accrues this host's share of the rates, at most one permit at a time. Call it
+  /// regularly while no host issues permits.
   void accrueOwnShare(std::uint32_t aHostCount, Instant aNow);
 
   /// Expected time until this host may send a request to the upstream: zero if it may
