Review: a leader keeps an old configuration after one lost answer

Cause: a follower's wait of 15 s in the read of the configuration stays when it becomes the leader, whom nobody tells of a newer version. No product code.

--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -408,6 +408,19 @@
   mLosesTable = aTable;
 }
 
+bool
+Store::waitForRead(const std::string& aMachine,
+                   const std::string& aTable,
+                   std::int64_t aLeastWaitMs,
+                   std::int64_t aMaxMs)
+{
+  const auto key = aMachine + " " + aTable + " " + std::to_string(aLeastWaitMs);
+  std::unique_lock<std::mutex> lock(mMutex);
+  mReads[key] = 0;
+  return mChanged.wait_for(
+    lock, std::chrono::milliseconds(aMaxMs), [&] { return mReads[key] > 0; });
+}
+
 void
 Store::serve(const std::string& aMachine, Connection& aConnection)
 {
@@ -483,6 +496,14 @@
     std::strtoul(aRequest.parameter("wait_ms").c_str(), nullptr, 10));
   const auto until = std::chrono::steady_clock::now() + wait;
   std::unique_lock<std::mutex> lock(mMutex);
+  for (auto& [key, count] : mReads) {
+    const auto least = std::strtoll(key.substr(key.rfind(' ') + 1).c_str(), nullptr, 10);
+    const auto read = aMachine + " " + table + " ";
+    if (key.compare(0, read.size(), read) == 0 && wait.count() >= least) {
+      ++count;
+      mChanged.notify_all();
+    }
+  }
   std::map<std::uint64_t, std::string> changes;
   while (true) {
     for (const auto& [key, row] : mTables[table]) {
@@ -494,7 +515,7 @@
       }
     }
     if (!changes.empty() || mChanged.wait_until(lock, until) == std::cv_status::timeout) {
-      break;
+      break; // at the timeout no change has come, or it comes with the next read
     }
   }
   if (!changes.empty() && aMachine == mLosesMachine && table == mLosesTable) {
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -106,6 +106,12 @@
   /// The next answer to a waiting read of the table by the machine that has rows is lost:
   /// its connection stays open and delivers nothing further.
   void loseNextAnswer(const std::string& aMachine, const std::string& aTable);
+  /// Waits until the machine begins a read of the table's changes that waits for
+  /// `aLeastWaitMs` or longer; false if none begins in time.
+  bool waitForRead(const std::string& aMachine,
+                   const std::string& aTable,
+                   std::int64_t aLeastWaitMs,
+                   std::int64_t aMaxMs);
   /// True once an answer was lost.
   bool answerLost() const { return mAnswerLost; }
 
@@ -130,6 +136,7 @@
   std::map<std::string, std::map<std::string, Row>> mTables;
   std::uint64_t mVersion = 0;
   std::vector<std::unique_ptr<Server>> mServers;
+  std::map<std::string, std::uint64_t> mReads; // by machine, table and wait
   std::string mLosesMachine;
   std::string mLosesTable;
   std::atomic<bool> mAnswerLost{ false };
