Review: a follower keeps an old configuration after a silence of the store

Cause: reads of the configuration that hang keep their connections, and after three of them no further one is opened until the first reaches its time limit. No product code.

--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -408,6 +408,14 @@
   mLosesTable = aTable;
 }
 
+void
+Store::setSilent(const std::string& aMachine, bool aSilent)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mSilent[aMachine] = aSilent;
+  record("store %s %s", aSilent ? "is silent for" : "answers again to", aMachine.c_str());
+}
+
 bool
 Store::waitForRead(const std::string& aMachine,
                    const std::string& aTable,
@@ -425,10 +433,14 @@
 Store::serve(const std::string& aMachine, Connection& aConnection)
 {
   Request request;
+  const auto silent = [&] {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return mSilent[aMachine];
+  };
   while (aConnection.read(request)) {
     const auto path = request.target.substr(0, request.target.find('?'));
     std::string text;
-    bool lost = false;
+    bool lost = silent();
     if (path == "/savoryrill/rows-get") {
       text = readRows(request);
     } else if (path == "/savoryrill/rows-feed") {
@@ -438,6 +450,7 @@
     } else {
       text = response(404, "", "");
     }
+    lost = lost || silent();
     if (lost) {
       mAnswerLost = true;
       record("store loses its answer to %s on table %s",
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -106,6 +106,10 @@
   /// The next answer to a waiting read of the table by the machine that has rows is lost:
   /// its connection stays open and delivers nothing further.
   void loseNextAnswer(const std::string& aMachine, const std::string& aTable);
+  /// While silent, the store gives a machine no response: its calls that arrive, or would be
+  /// answered, are lost, and their connections deliver nothing further.
+  void setSilent(const std::string& aMachine, bool aSilent);
+
   /// Waits until the machine begins a read of the table's changes that waits for
   /// `aLeastWaitMs` or longer; false if none begins in time.
   bool waitForRead(const std::string& aMachine,
@@ -137,6 +141,7 @@
   std::uint64_t mVersion = 0;
   std::vector<std::unique_ptr<Server>> mServers;
   std::map<std::string, std::uint64_t> mReads; // by machine, table and wait
+  std::map<std::string, bool> mSilent;
   std::string mLosesMachine;
   std::string mLosesTable;
   std::atomic<bool> mAnswerLost{ false };
