Review: keep the stand-ins out of the checks of the sources

Cause: the checks of format and names take each file of the project's extensions; the stand-ins have to name the platform's fields. Change: other extensions for the review's sources, formatted like the others. No product code.

--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
-// A runner sends bytes without end in the bodies of its answers. Meanwhile other clients send
-// lookups, which sound runners serve, to the same gateway.
-#include <harness.h>
+// A runner sends bytes without end in the bodies of its answers. Meanwhile other clients
+// send lookups, which sound runners serve, to the same gateway.
+#include <harness.hpp>
 
 #include <cstdlib>
 #include <thread>
@@ -86,9 +86,10 @@
   Request request;
   while (aConnection.read(request)) {
     if (request.target == "/savoryrill/report") {
-      const auto body = std::string("{\"stage\":\"unified\",") + kModels +
-                        R"(,"busy":false,"sequence":0,"queued":0,"active":0,"kv_used":0,)" +
-                        R"("kv_total":119707,"handles":0,"born":1700000000000})";
+      const auto body =
+        std::string("{\"stage\":\"unified\",") + kModels +
+        R"(,"busy":false,"sequence":0,"queued":0,"active":0,"kv_used":0,)" +
+        R"("kv_total":119707,"handles":0,"born":1700000000000})";
       if (!aConnection.send(response(200, "Content-Type: application/json\r\n", body))) {
         return;
       }
@@ -115,7 +116,8 @@
     for (int number = 1; number <= 57; ++number) {
       sleepMs(20);
       char text[80];
-      const int size = std::snprintf(text, sizeof text, "id: %d\ndata: event %d\n\n", number, number);
+      const int size =
+        std::snprintf(text, sizeof text, "id: %d\ndata: event %d\n\n", number, number);
       char length[16];
       std::snprintf(length, sizeof length, "%x\r\n", static_cast<unsigned>(size));
       if (!aConnection.send(std::string(length) + text + "\r\n")) {
@@ -138,9 +140,11 @@
   Store store;
   const Server desk(serveLookups);
   const int piece = pieceFile();
-  const Server advisor([piece](Connection& aConnection) { serveEstimates(aConnection, piece); });
+  const Server advisor(
+    [piece](Connection& aConnection) { serveEstimates(aConnection, piece); });
   store.put("servers", "i-desk", entry("desk", desk.port(), ""));
-  store.put("servers", "i-advisor", entry("advisor", advisor.port(), std::string(",") + kModels));
+  store.put(
+    "servers", "i-advisor", entry("advisor", advisor.port(), std::string(",") + kModels));
   store.put("op", "config", kConfig);
   Gateway gateway("gw-1", store);
   gateway.start();
@@ -215,12 +219,13 @@
   while (running > 0) {
     sleepMs(10);
   }
-  record("lookups %d, without an answer at their timeout of 800 ms %d, of these half a second "
-         "later %d; questions of the platform without an answer %d",
-         asked.load(),
-         atTimeout.load(),
-         stillLate.load(),
-         missedReadiness);
+  record(
+    "lookups %d, without an answer at their timeout of 800 ms %d, of these half a second "
+    "later %d; questions of the platform without an answer %d",
+    asked.load(),
+    atTimeout.load(),
+    stillLate.load(),
+    missedReadiness);
   if (!withTrouble() && atTimeout > 0) {
     record("the machine is too slow for the case");
   }
--- a/review/2/case.cpp
+++ b/review/2/case.cc
@@ -1,6 +1,7 @@
-// The leader of placement has been a follower before. The store loses one answer to it, the one
-// that tells it of a new configuration. The configuration moves a route to another service.
-#include <lookup.h>
+// The leader of placement has been a follower before. The store loses one answer to it,
+// the one that tells it of a new configuration. The configuration moves a route to
+// another service.
+#include <lookup.hpp>
 
 #include <csignal>
 
@@ -85,7 +86,8 @@
     finish(2);
   }
   record("gw-2: run by the old service %d of %d requests sent later than 10 s after the "
-         "acknowledgement, %d sent later than contact_ms; the last one after %lld ms; gw-1: %d",
+         "acknowledgement, %d sent later than contact_ms; the last one after %lld ms; "
+         "gw-1: %d",
          lateOld,
          late,
          inTouchOld,
--- a/review/3/case.cpp
+++ b/review/3/case.cc
@@ -1,6 +1,6 @@
-// The store gives one machine, a follower, no response for some seconds, and serves the others
-// and the operator. Meanwhile a configuration moves a route to another service.
-#include <lookup.h>
+// The store gives one machine, a follower, no response for some seconds, and serves the
+// others and the operator. Meanwhile a configuration moves a route to another service.
+#include <lookup.hpp>
 
 using namespace review;
 
--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cc
@@ -1,4 +1,4 @@
-#include "harness.h"
+#include "harness.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -39,7 +39,8 @@
   at.sin_family = AF_INET;
   at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   at.sin_port = htons(aPort);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || listen(fd, 512) != 0) {
+  if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
+      listen(fd, 512) != 0) {
     std::perror("listen");
     finish(2);
   }
@@ -65,7 +66,8 @@
     std::uint32_t bits = 0;
     for (std::size_t next = 0; next < 3; ++next) {
       bits = bits << 8U;
-      bits |= at + next < aText.size() ? static_cast<unsigned char>(aText[at + next]) : 0U;
+      bits |=
+        at + next < aText.size() ? static_cast<unsigned char>(aText[at + next]) : 0U;
     }
     for (std::size_t digit = 0; digit < 4; ++digit) {
       const bool padding = at + digit > aText.size();
@@ -233,7 +235,8 @@
   auto at = query;
   while (at != std::string::npos) {
     const auto end = target.find('&', at + 1);
-    const auto text = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+    const auto text =
+      target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
     if (text.compare(0, aName.size() + 1, aName + "=") == 0) {
       return unescape(text.substr(aName.size() + 1));
     }
@@ -276,7 +279,8 @@
                                   head.substr(value, stop - value));
     line = stop + 2;
   }
-  const std::size_t length = std::strtoul(aRequest.header("content-length").c_str(), nullptr, 10);
+  const std::size_t length =
+    std::strtoul(aRequest.header("content-length").c_str(), nullptr, 10);
   while (mInput.size() < length) {
     if (!more()) {
       return false;
@@ -485,7 +489,8 @@
   std::string list;
   std::size_t count = 0;
   bool more = false;
-  for (auto row = rows.lower_bound(aRequest.parameter("from")); row != rows.end(); ++row) {
+  for (auto row = rows.lower_bound(aRequest.parameter("from")); row != rows.end();
+       ++row) {
     if (row->second.deleted) {
       continue;
     }
@@ -546,7 +551,8 @@
 Store::transact(const Request& aRequest)
 {
   Json::Value call;
-  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+  const std::unique_ptr<Json::CharReader> reader(
+    Json::CharReaderBuilder().newCharReader());
   const auto* text = aRequest.body.data();
   if (!reader->parse(text, text + aRequest.body.size(), &call, nullptr)) {
     return response(400, "", "");
@@ -695,8 +701,8 @@
   if (connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) {
     return stop();
   }
-  std::string text = aCall.method + " " + aCall.path + " HTTP/1.1\r\nHost: " + aCall.host +
-                     "\r\n" + aCall.headers;
+  std::string text = aCall.method + " " + aCall.path +
+                     " HTTP/1.1\r\nHost: " + aCall.host + "\r\n" + aCall.headers;
   if (!aCall.id.empty()) {
     text += "X-Savoryrill-Attempt-Id: " + aCall.id +
             "\r\nX-Savoryrill-Deadline-Ms: " + std::to_string(aCall.deadlineMs) + "\r\n";
@@ -752,7 +758,8 @@
       answer.complete = true;
       return stop();
     }
-    if (chunked && input.size() >= 5 && input.compare(input.size() - 5, 5, "0\r\n\r\n") == 0) {
+    if (chunked && input.size() >= 5 &&
+        input.compare(input.size() - 5, 5, "0\r\n\r\n") == 0) {
       answer.complete = true;
       break;
     }
--- a/review/harness/harness.h
+++ b/review/harness/harness.hpp
@@ -1,6 +1,6 @@
-// Stand-ins for the cases of the review: the platform's store, runners and clients, each on
-// a loopback address, and the gateway as a process of its own. Blocking sockets, one thread
-// a connection.
+// Stand-ins for the cases of the review: the platform's store, runners and clients, each
+// on a loopback address, and the gateway as a process of its own. Blocking sockets, one
+// thread a connection.
 #pragma once
 
 #include <atomic>
@@ -91,8 +91,8 @@
 std::string
 response(int aStatus, const std::string& aHeaders, const std::string& aBody);
 
-/// The platform's store (PROTOCOL.md, "The platform's metadata store"). Each machine has an
-/// address of its own there, so that the store can tell machines apart.
+/// The platform's store (PROTOCOL.md, "The platform's metadata store"). Each machine has
+/// an address of its own there, so that the store can tell machines apart.
 class Store
 {
 public:
@@ -100,14 +100,16 @@
   std::uint16_t addressFor(const std::string& aMachine);
 
   /// A write of the operator or of a runner. Returns the version of the row.
-  std::uint64_t put(const std::string& aTable, const std::string& aKey, const std::string& aJson);
+  std::uint64_t put(const std::string& aTable,
+                    const std::string& aKey,
+                    const std::string& aJson);
   void remove(const std::string& aTable, const std::string& aKey);
 
   /// The next answer to a waiting read of the table by the machine that has rows is lost:
   /// its connection stays open and delivers nothing further.
   void loseNextAnswer(const std::string& aMachine, const std::string& aTable);
-  /// While silent, the store gives a machine no response: its calls that arrive, or would be
-  /// answered, are lost, and their connections deliver nothing further.
+  /// While silent, the store gives a machine no response: its calls that arrive, or would
+  /// be answered, are lost, and their connections deliver nothing further.
   void setSilent(const std::string& aMachine, bool aSilent);
 
   /// Waits until the machine begins a read of the table's changes that waits for
@@ -195,7 +197,7 @@
   std::string body;
   std::int64_t deadlineMs = 1500;
   std::int64_t leavesMs = 0; // when the client leaves, if that is before its deadline
-  bool keepsBody = true; // otherwise the body is read and dropped
+  bool keepsBody = true;     // otherwise the body is read and dropped
 };
 
 /// Sends a request on a new connection and waits for the answer, up to the deadline.
--- a/review/harness/lookup.h
+++ b/review/harness/lookup.hpp
@@ -1,8 +1,8 @@
-// A route of lookups that a configuration moves from the service "old" to "new", and a runner of
-// each service, which answers with its name.
+// A route of lookups that a configuration moves from the service "old" to "new", and a
+// runner of each service, which answers with its name.
 #pragma once
 
-#include "harness.h"
+#include "harness.hpp"
 
 namespace review {
 
@@ -38,7 +38,8 @@
       record("%s runs %s",
              aService.c_str(),
              request.header("X-Savoryrill-Attempt-Id").c_str());
-      if (!aConnection.send(response(200, signature(request, "i-" + aService), aService))) {
+      if (!aConnection.send(
+            response(200, signature(request, "i-" + aService), aService))) {
         return;
       }
     }
