--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -4,7 +4,6 @@
 
 #include <cstdlib>
 #include <thread>
-#include <unistd.h>
 
 using namespace review;
 
@@ -14,8 +13,8 @@
 constexpr std::int64_t kEstimateDeadlineMs = 35000;
 // Clients abandon a stream after four times its objective of 4,000 ms without an event.
 constexpr std::int64_t kClientLeavesMs = 16000;
-// Requests that the runner in trouble has at the same time, of 48 places.
-constexpr int kEstimates = 4;
+// Requests that the runner in trouble has at the same time.
+constexpr int kEstimates = 3;
 constexpr std::int64_t kLookupTimeoutMs = 800;
 constexpr std::int64_t kLookupDeadlineMs = 1500;
 constexpr std::int64_t kHalfSecondMs = 500;
@@ -50,20 +49,15 @@
          R"("sequence":1,"born":1700000000000)" + aMore + "}";
 }
 
-/// Eight megabytes, sent again and again.
-constexpr std::size_t kPieceBytes = 8UL << 20U;
-
-int
-pieceFile()
+/// About a megabyte in chunks of 256 bytes.
+std::string
+smallChunks()
 {
-  char name[] = "/tmp/review-piece.XXXXXX";
-  const int file = mkstemp(name);
-  unlink(name);
-  const std::string piece(kPieceBytes, 'x');
-  if (file < 0 || write(file, piece.data(), piece.size()) != ssize_t(piece.size())) {
-    finish(2);
+  std::string text;
+  while (text.size() < (1U << 20U)) {
+    text += "100\r\n" + std::string(256, 'x') + "\r\n";
   }
-  return file;
+  return text;
 }
 
 void
@@ -81,7 +75,7 @@
 }
 
 void
-serveEstimates(Connection& aConnection, int aPiece)
+serveEstimates(Connection& aConnection)
 {
   Request request;
   while (aConnection.read(request)) {
@@ -98,14 +92,17 @@
     const auto id = request.header("X-Savoryrill-Attempt-Id");
     record("advisor runs %s", id.c_str());
     if (withTrouble()) {
-      aConnection.send("HTTP/1.1 200 OK\r\n" + signature(request, "i-advisor") + "\r\n");
+      static const std::string kChunks = smallChunks();
+      aConnection.send("HTTP/1.1 200 OK\r\n" + signature(request, "i-advisor") +
+                       "Transfer-Encoding: chunked\r\n\r\n");
       std::int64_t sent = 0;
-      while (aConnection.sendFile(aPiece, kPieceBytes)) {
+      while (aConnection.send(kChunks)) {
         ++sent;
       }
-      record("advisor's connection for %s ends after %lld pieces of 8 MB",
-             id.c_str(),
-             static_cast<long long>(sent));
+      record(
+        "advisor's connection for %s ends after %lld KB",
+        id.c_str(),
+        static_cast<long long>(sent * static_cast<std::int64_t>(kChunks.size()) / 1024));
       return;
     }
     if (!aConnection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
@@ -139,9 +136,7 @@
   record("trouble: %s", withTrouble() ? "yes" : "no");
   Store store;
   const Server desk(serveLookups);
-  const int piece = pieceFile();
-  const Server advisor(
-    [piece](Connection& aConnection) { serveEstimates(aConnection, piece); });
+  const Server advisor(serveEstimates);
   store.put("servers", "i-desk", entry("desk", desk.port(), ""));
   store.put(
     "servers", "i-advisor", entry("advisor", advisor.port(), std::string(",") + kModels));
