Bound the input that is read from a connection in one iteration of the loop

Cause: OutboundConnection::readInput read until a read came back short, so a peer that sends as fast as it is read kept the loop from all other connections, timers and signals.

Connections now read 64 KB in an iteration; the level-triggered watch reports the rest.

--- a/src/link/internal/inboundconnection.cpp
+++ b/src/link/internal/inboundconnection.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16UL * 1024;
+// Input read in one iteration of the loop, so that a caller that sends without end leaves
+// time for all other connections, timers and signals.
+constexpr std::size_t kMaxReadBytesPerIteration = 4 * kReadBytes;
 // Pipelined input that is buffered while a request is in progress; reading pauses above
 // it.
 constexpr std::size_t kMaxPipelinedBytes = 16UL * 1024;
@@ -99,9 +102,12 @@
 InboundConnection::readInput()
 {
   std::array<char, kReadBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  while (!mClosed) {
+  std::size_t total = 0;
+  // The watch reports input that is left over in the next iteration.
+  while (!mClosed && !mCloseAfterOutput && total < kMaxReadBytesPerIteration) {
     const ssize_t size = recv(mSocket.fd(), buffer.data(), buffer.size(), 0);
     if (size > 0) {
+      total += static_cast<std::size_t>(size);
       mInput.append(buffer.data(), static_cast<std::size_t>(size));
       if (static_cast<std::size_t>(size) < buffer.size() || mRequestActive) {
         break;
--- a/src/link/internal/outboundconnection.cpp
+++ b/src/link/internal/outboundconnection.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 32UL * 1024;
+// Input read in one iteration of the loop. A peer that sends as fast as this process
+// reads would otherwise keep the loop from all other connections, timers and signals.
+constexpr std::size_t kMaxReadBytesPerIteration = 2 * kReadBytes;
 // Limits for interim responses and responses to other requests that precede the awaited
 // response. A healthy upstream sends one or two; a faulty one may send them endlessly.
 constexpr std::uint32_t kMaxSkippedMessages = 16;
@@ -228,9 +231,12 @@
 OutboundConnection::readInput()
 {
   std::array<char, kReadBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  while (!mClosed && !mPaused) {
+  std::size_t total = 0;
+  // The watch reports input that is left over in the next iteration.
+  while (!mClosed && !mPaused && total < kMaxReadBytesPerIteration) {
     const ssize_t size = recv(mSocket.fd(), buffer.data(), buffer.size(), 0);
     if (size > 0) {
+      total += static_cast<std::size_t>(size);
       parseInput({ buffer.data(), static_cast<std::size_t>(size) });
       if (static_cast<std::size_t>(size) < buffer.size()) {
         break;
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <cerrno>
+#include <sys/socket.h>
 #include <thread>
 
 #include "link/inboundconnection.h"
@@ -72,6 +74,54 @@
   std::optional<link::ExchangeFault> fault;
 };
 
+constexpr std::size_t kEndlessBytes = 32UL * 1024 * 1024;
+// Above what one connection may read in two iterations of the loop.
+constexpr std::size_t kMaxBytesBeforeNextEvent = 256UL * 1024;
+
+/// Lets the peer send as much as has been read, at once, up to `kEndlessBytes`: the
+/// reader always finds as much as it reads with one call. Records how much was read
+/// before the loop handled another event.
+class EndlessExchange : public RecordingExchange
+{
+public:
+  EndlessExchange(event::Loop& aLoop, std::unique_ptr<ScriptedPeer>& aPeer)
+    : mLoop(aLoop)
+    , mPeer(aPeer)
+  {
+  }
+  void responseData(std::string_view aData) override
+  {
+    if (mRead == 0) {
+      mLoop.post([this] { readBeforeNextEvent = mRead; });
+    }
+    mRead += aData.size();
+    if (mRead < kEndlessBytes) {
+      mPeer->connection(0).send(std::string(aData.size(), 'x'));
+    }
+  }
+
+  std::optional<std::size_t> readBeforeNextEvent;
+
+private:
+  event::Loop& mLoop;
+  std::unique_ptr<ScriptedPeer>& mPeer;
+  std::size_t mRead = 0;
+};
+
+/// Its limits are asked for at each part of a body.
+class EndlessBodyHandler : public EchoHandler
+{
+public:
+  const link::InboundLimits& limits() const override
+  {
+    if (onBody) {
+      onBody();
+    }
+    return bounds;
+  }
+  std::function<void()> onBody;
+};
+
 } // namespace
 
 TEST_GROUP(InboundConnection)
@@ -251,6 +301,47 @@
   LONGS_EQUAL(0, handler.held->unsentBytes());
 }
 
+// Guards against a caller that keeps the loop from all others while it sends a body
+// faster than it is read.
+TEST(InboundConnection, BodyComesAsFastAsItIsRead_LoopHandlesOtherEvents)
+{
+  EndlessBodyHandler flooded;
+  flooded.bounds.maxBodyBytes = 2 * kEndlessBytes;
+  const auto flooded_port = testing::freePort();
+  const auto flooded_listener = std::move(
+    link::Listener::create(*loop, { "127.0.0.1", flooded_port }, flooded, 16).value());
+  const auto socket =
+    std::move(link::connectTo({ "127.0.0.1", flooded_port }, 5s).value());
+  CHECK_TRUE(until([&] { return flooded_listener->connections() == 1; }));
+  std::size_t read = 0;
+  std::optional<std::size_t> read_before_next_event;
+  flooded.onBody = [&] {
+    if (read == 0) {
+      loop->post([&] { read_before_next_event = read; });
+    }
+    read += 16UL * 1024;
+  };
+  std::thread sender([&] {
+    const auto send_all = [&](const std::string& aBytes) {
+      for (std::size_t sent = 0; sent < aBytes.size();) {
+        const ssize_t size =
+          ::send(socket.fd(), aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+        if (size < 0 && errno != EAGAIN) {
+          return; // the connection has been closed
+        }
+        sent += size > 0 ? static_cast<std::size_t>(size) : 0;
+      }
+    };
+    send_all("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+             std::to_string(2 * kEndlessBytes) + "\r\n\r\n");
+    send_all(std::string(kEndlessBytes, 'x'));
+  });
+  CHECK_TRUE(until([&] { return read >= kEndlessBytes; }));
+  sender.join();
+  CHECK_TRUE(*read_before_next_event < kMaxBytesBeforeNextEvent);
+  flooded.onBody = nullptr;
+}
+
 TEST_GROUP(OutboundConnection)
 {
   std::unique_ptr<event::Loop> loop;
@@ -321,6 +412,19 @@
   CHECK_FALSE(connection->reusable());
 }
 
+// Guards against an upstream that keeps the loop from all other connections, timers and
+// signals while it sends a response faster than it is read.
+TEST(OutboundConnection, BodyComesAsFastAsItIsRead_LoopHandlesOtherEvents)
+{
+  respondWith("HTTP/1.1 200 OK\r\n\r\n" + std::string(64UL * 1024, 'x'));
+  EndlessExchange endless(*loop, peer);
+  connection = pool->take("u", { "127.0.0.1", peer->port() }, 4).connection;
+  connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, endless);
+  CHECK_TRUE(until([&] { return endless.readBeforeNextEvent.has_value(); }));
+  CHECK_TRUE(*endless.readBeforeNextEvent < kMaxBytesBeforeNextEvent);
+  connection->cancel();
+}
+
 TEST(OutboundConnection, BytesAfterResponse_ConnectionNotReused)
 {
   respondWith(rawResponse(200, "X-Id: own\r\n", "mine") + rawResponse(200, "", "extra"));
