Enter the leader's updates of the upstream list in a follower's own record of changes

Cause: followers applied the leader's updates to their directory alone. A follower that became the leader published changes from a record that held its own last read, so the removal of an upstream that it knew from the former leader was in no update, and the others took these updates as complete. Evidence: the new leader logs the upstream as vanished, the other host's counter of received lists grows, and it goes on sending.

With the updates in its record, a new leader finds what its first whole list lacks and names it as removed.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -398,6 +398,8 @@
   std::vector<serving::DirectoryChange> changes;
   if (aUpdate.version >= known) {
     mSelector.directory().apply(aUpdate, now, changes);
+    // This host may be the next leader, which tells the others of later changes.
+    mUpstreamListChanges.apply(aUpdate);
   }
   mSelector.directory().readSucceeded(now);
   mUpstreamFollower->confirm(aUpdate.version, aAsOf);
--- a/src/serving/internal/upstreamlistchanges.cpp
+++ b/src/serving/internal/upstreamlistchanges.cpp
@@ -59,6 +59,20 @@
   }
 }
 
+void
+UpstreamListChanges::apply(const UpstreamListUpdate& aUpdate)
+{
+  for (auto entry : aUpdate.entries) {
+    // Updates do not tell when within their range an entry has changed.
+    entry.rowVersion = aUpdate.version;
+    update(entry);
+  }
+  for (const auto& id : aUpdate.removed) {
+    remove(id, aUpdate.version);
+  }
+  setVersion(aUpdate.version);
+}
+
 void
 UpstreamListChanges::retainOnly(const std::set<std::string>& aIds, std::uint64_t aVersion)
 {
--- a/src/serving/tests/upstreamlistchangestest.cpp
+++ b/src/serving/tests/upstreamlistchangestest.cpp
@@ -90,6 +90,37 @@
   LONGS_EQUAL(1, changes.since(110)->entries.size());
 }
 
+// Guards against a new leader that never tells of the removal of an upstream that it knew
+// from the former leader alone.
+TEST(UpstreamListChanges, EntryOfAppliedUpdateIsGoneFromWholeList_UpdateHasRemoval)
+{
+  list(entry("u", 101));
+  serving::UpstreamListUpdate update;
+  update.base = 101;
+  update.version = 110;
+  update.entries = { entry("young", 0) };
+  changes.apply(update);
+  LONGS_EQUAL(1, changes.since(105)->entries.size());
+  changes.update(entry("u", 118));
+  changes.retainOnly({ "u" }, 120);
+  changes.setVersion(120);
+  LONGS_EQUAL(1, changes.since(110)->removed.size());
+  STRCMP_EQUAL("young", changes.since(110)->removed[0].c_str());
+}
+
+TEST(UpstreamListChanges, AppliedUpdateRemovesEntry_UpdateHasRemoval)
+{
+  list(entry("u", 101));
+  list(entry("v", 102));
+  serving::UpstreamListUpdate update;
+  update.base = 102;
+  update.version = 110;
+  update.removed = { "v" };
+  changes.apply(update);
+  LONGS_EQUAL(110, changes.since(102)->version);
+  STRCMP_EQUAL("v", changes.since(102)->removed.at(0).c_str());
+}
+
 // Guards against a directory that loses the engine reports when it applies an update that
 // another host has published.
 TEST(UpstreamListChanges, UpdateIsApplied_EngineReportsAreKept)
--- a/src/serving/upstreamlistchanges.h
+++ b/src/serving/upstreamlistchanges.h
@@ -28,6 +28,11 @@
   /// Applies the removal of an entry at `aVersion`.
   void remove(const std::string& aId, std::uint64_t aVersion);
 
+  /// Applies an update that another host has published, so that this host can publish
+  /// later changes in its place. Precondition: all changes up to `aUpdate.base` have been
+  /// applied.
+  void apply(const UpstreamListUpdate& aUpdate);
+
   /// Removes all entries whose ids the whole list at `aVersion` lacks.
   void retainOnly(const std::set<std::string>& aIds, std::uint64_t aVersion);
 
