Publish no update to hosts whose list version lies between two whole lists of the leader

A host could keep an upstream that came and went between the version a new leader knew and its first whole list, if the host knew a version in between: the leader has never seen the upstream and names no removal.

Such hosts now get no update and read the list themselves.

--- a/src/serving/internal/upstreamlistchanges.cpp
+++ b/src/serving/internal/upstreamlistchanges.cpp
@@ -76,6 +76,13 @@
 void
 UpstreamListChanges::retainOnly(const std::set<std::string>& aIds, std::uint64_t aVersion)
 {
+  if (mVersion != 0 && aVersion > mVersion) {
+    mGaps[mVersion] = aVersion;
+    if (mGaps.size() > kMaxGaps) {
+      mOldestBase = std::max(mOldestBase, mGaps.begin()->second);
+      mGaps.erase(mGaps.begin());
+    }
+  }
   std::vector<std::string> missing;
   for (const auto& [id, item] : mItems) {
     if (!aIds.contains(id)) {
@@ -99,7 +106,9 @@
 std::optional<UpstreamListUpdate>
 UpstreamListChanges::since(std::uint64_t aBase) const
 {
-  if (mVersion == 0 || aBase < mOldestBase) {
+  const bool in_gap = std::ranges::any_of(
+    mGaps, [&](const auto& aGap) { return aBase > aGap.first && aBase < aGap.second; });
+  if (mVersion == 0 || aBase < mOldestBase || in_gap) {
     return std::nullopt;
   }
   UpstreamListUpdate update;
--- a/src/serving/upstreamlistchanges.h
+++ b/src/serving/upstreamlistchanges.h
@@ -21,6 +21,9 @@
   /// Maximum number of removals kept. Above it the oldest are dropped, and hosts that
   /// have not received them read the list themselves.
   static constexpr std::size_t kMaxRemovals = 512;
+  /// Maximum number of gaps kept, see `retainOnly`. Above it the oldest are dropped like
+  /// removals.
+  static constexpr std::size_t kMaxGaps = 8;
 
   /// Applies an entry that was read.
   void update(const UpstreamEntry& aEntry);
@@ -33,14 +36,16 @@
   /// applied.
   void apply(const UpstreamListUpdate& aUpdate);
 
-  /// Removes all entries whose ids the whole list at `aVersion` lacks.
+  /// Removes all entries whose ids the whole list at `aVersion` lacks. Entries that were
+  /// added and removed between the version known before and `aVersion` stay unknown, so
+  /// `since` returns nothing for the versions in this gap. Call before `setVersion`.
   void retainOnly(const std::set<std::string>& aIds, std::uint64_t aVersion);
 
   /// Call when all changes up to `aVersion` have been applied.
   void setVersion(std::uint64_t aVersion);
 
-  /// Changes after version `aBase`; nothing if some may have been dropped, or if the list
-  /// has not been read yet.
+  /// Changes after version `aBase`; nothing if some may be unknown or have been dropped,
+  /// or if the list has not been read yet.
   std::optional<UpstreamListUpdate> since(std::uint64_t aBase) const;
 
 private:
@@ -54,6 +59,7 @@
   std::map<std::string, std::uint64_t> mRemoved; // versions of removals, by id
   std::uint64_t mVersion = 0;
   std::uint64_t mOldestBase = 0; // oldest version after which all changes are known
+  std::map<std::uint64_t, std::uint64_t> mGaps; // their ends, by their starts
 };
 
 } // namespace savoryrill::serving
