Read the configuration at once and with a short wait when a host begins to lead

Cause: a follower waits up to 15 s in its read of the configuration, as the leader tells it of newer versions. A follower that became the leader kept this wait. Nobody tells the leader, so one lost response kept it on the old version for up to 16 s, and it told the others the old one. Failed before this change: gatewaypairtest.cpp: error: Failure in TEST(GatewayPair, ReadHangsAsFollowerTakesTheLease_ConfigurationIsReadSoon) CHECK_TRUE(logged(1, "version", "4")) failed

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -330,6 +330,10 @@
   if (aLeads) {
     // The known list may come from another leader, without the models that engines hold.
     mUpstreamFollower->readNow();
+    // No other host tells the leader of newer versions, so it cannot wait for as long as
+    // in its read as a follower, which may hang.
+    mConfigFollower->setWait(kConfigWait);
+    mConfigFollower->readNow();
   }
 }
 
