Replace a waiting read of the store that has hung soon after its wait

A host that lost one response of the store while the configuration changed kept the old one for up to 3.7 s: the wait of the read (2.5 s) and the timeout of requests (1.2 s). That is longer than the 3 s after which the host counts as undisturbed again.

A waiting read without a result 0.5 s after its wait is now replaced, and the wait is 2 s.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -18,9 +18,10 @@
 
 // Waiting requests are checked on each change, and at least once in this period.
 constexpr Duration kTickPeriod = 50ms;
-// Maximum wait of a long-polling read of the configuration. If the connection to the
-// store has failed unnoticed, changes are noticed up to this much later.
-constexpr Duration kConfigWait = 2500ms;
+// Maximum wait of a long-polling read of the configuration. If its response is lost, a
+// change is noticed later by this and by `TableFollower::kHangMargin`. The sum stays
+// below the time (3 s) after which a host counts as undisturbed again.
+constexpr Duration kConfigWait = 2s;
 // The same while the placement leader reports the configuration version in force: a newer
 // version than that of this host shows that the read hangs. Less than the minimum time
 // for which a store keeps its history (20 s).
--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -59,6 +59,12 @@
 void
 TableFollower::readChanges()
 {
+  if (mOptions.wait > Duration::zero()) {
+    mHangTimer = mLoop.after(mOptions.wait + kHangMargin, [this] {
+      recordFailure({ ErrorCode::OutcomeUnknown, "no response to a waiting read" });
+      read();
+    });
+  }
   mStore.readChanges(mOptions.table,
                      *mVersion,
                      mOptions.wait,
@@ -67,6 +73,7 @@
                          return;
                        }
                        mReading = false;
+                       mHangTimer.reset();
                        if (!aRows) {
                          if (aRows.error().code == ErrorCode::NotFound) {
                            // The store no longer has all changes since the known version.
@@ -109,6 +116,7 @@
 TableFollower::read()
 {
   mTimer.reset();
+  mHangTimer.reset();
   mReading = true;
   mReadStarted = mLoop.now();
   ++mReadId;
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -22,6 +22,10 @@
 class TableFollower
 {
 public:
+  /// A read that has no result this long after its `Options::wait` has hung, and is
+  /// replaced by another one.
+  static constexpr Duration kHangMargin = 500ms;
+
   struct Options
   {
     std::string table;
@@ -65,8 +69,8 @@
   /// updates carry only a part of each row.
   void confirm(std::uint64_t aVersion, Instant aAsOf);
 
-  /// Reads at once and ignores the result of a read in progress, which may have hung
-  /// since an outage of the store that has ended.
+  /// Reads at once and gives up a read in progress, which may have hung since an outage
+  /// of the store that has ended.
   void readNow();
 
   /// Sets a callback that runs when a read succeeds after a failed one.
@@ -102,6 +106,7 @@
   Duration mFailurePause =
     Duration::zero(); // after the last failure; zero after a success
   event::Watch mTimer;
+  event::Watch mHangTimer; // for a read of changes that waits
 };
 
 } // namespace savoryrill::gateway
