Cancel a waiting read of the store that is replaced by another one

Cause: a read that was replaced was ignored, but kept its connection until its timeout of up to 16.2 s. The store client has three connections for waiting reads, so after three replaced reads each further one failed with 'no connection is available'. A replaced read is now cancelled, which frees its connection. Failed before this change: StoreClient, WaitingReadsHangAndAreReplaced_EachNewOneIsSent (the fourth read was not sent).

--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -117,6 +117,11 @@
 {
   mTimer.reset();
   mHangTimer.reset();
+  if (mReading && mOptions.wait > Duration::zero()) {
+    // The result of the replaced read is ignored. It would take up a connection until its
+    // timeout, and no further read could begin once all are taken.
+    mStore.cancelWaitingReads(mOptions.table);
+  }
   mReading = true;
   mReadStarted = mLoop.now();
   ++mReadId;
--- a/src/gateway/irowstore.h
+++ b/src/gateway/irowstore.h
@@ -29,9 +29,10 @@
 
 /// The rows of the platform's transactional store. Each operation is sent once and never
 /// retried; its completion runs in a later iteration of the loop, or never if the store
-/// object is destroyed first. Errors: Unavailable (no effect), OutcomeUnknown (it may
-/// take effect, possibly later), Conflict (the row has another version), NotFound (the
-/// store no longer has the requested changes), Malformed. Not thread safe.
+/// object is destroyed or the operation cancelled first. Errors: Unavailable (no effect),
+/// OutcomeUnknown (it may take effect, possibly later), Conflict (the row has another
+/// version), NotFound (the store no longer has the requested changes), Malformed. Not
+/// thread safe.
 class IRowStore
 {
 public:
@@ -56,6 +57,10 @@
                            Duration aWait,
                            Completion<RowSet> aDone) = 0;
 
+  /// Gives up all reads of changes of a table that wait for one. Their completions do not
+  /// run, and they take up no resources from then on.
+  virtual void cancelWaitingReads(const std::string& aTable) = 0;
+
   /// Writes a row if its version is `aExpected` (0: the row must be absent); completes
   /// with its new version.
   virtual void writeRow(const std::string& aTable,
