Send resumable streams in chunks, whatever their first upstream announced

A resumable stream whose upstream announced a length was passed on with this length. If the stream broke off and another upstream completed it with a rest of another length, its caller got a body that ended too early or never. Failed before this change: gatewaytest.cpp: error: Failure in TEST(Gateway, ResumableStreamWithLengthBreaksOff_CompleteWithRestOfOtherLength)

--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -402,7 +402,12 @@
       self->mConnection->pause(false);
     }
   });
-  mCaller->sendHead(mHead);
+  auto head = mHead;
+  if (mStreaming && mRoute->resumable && head.framing == link::Framing::Length) {
+    // Another upstream may complete the stream with a rest of another length.
+    head.framing = link::Framing::Chunked;
+  }
+  mCaller->sendHead(head);
 }
 
 void
