Check event streams before they are passed on to callers

Cause: the gateway looked for the ends of events and passed on what was between them; streams with a length on routes without resumption were not looked at at all.

EventStream now checks each line and each event, on all routes and framings, and passes on nothing from the first fault on. The attempt fails as malformed: resumable streams go on elsewhere after the last sound event, others are cut. Sound streams pass unchanged.

--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -30,6 +30,7 @@
 constexpr Duration kMinServiceTime = 20ms;
 // Minimum time that an engine needs until the first event.
 constexpr Duration kMinFirstEventTime = 60ms;
+constexpr std::string_view kEventStream = "text/event-stream";
 // An upstream that has sent parts of a response for this long is not crashed by the
 // request.
 constexpr Duration kServedAfter = 250ms;
@@ -60,11 +61,14 @@
   return series.append("{").append(aLabel).append("=\"").append(aValue).append("\"}");
 }
 
+/// True if a response names the media type of event streams. Names of media types are
+/// case-insensitive and may be followed by parameters.
 bool
 isEventStream(const link::ResponseHead& aHead)
 {
   const auto* type = link::findHeader(aHead.headers, "content-type");
-  return type != nullptr && type->starts_with("text/event-stream");
+  return type != nullptr &&
+         link::sameHeaderName(type->substr(0, type->find_first_of("; \t")), kEventStream);
 }
 
 } // namespace
@@ -90,6 +94,9 @@
   const Duration limit =
     mDetails.deadline ? std::min(*mDetails.deadline, mRoute->timeout) : mRoute->timeout;
   mDeadline = mArrived + limit;
+  if (mRoute->resumable) {
+    mEvents.startAfter(mDetails.resumeAfter);
+  }
 }
 
 RequestTask::~RequestTask() = default;
@@ -205,10 +212,11 @@
 bool
 RequestTask::streamIsBrokenOff() const
 {
-  // Engines send at least one event, and end streams after whole ones.
-  return mStreaming &&
-         (mEvents.hasPartial() ||
-          (mHead.framing == link::Framing::UntilClose && !mAttemptBodyStarted));
+  // Engines send at least one event, unless a stream is resumed after its last one, and
+  // end streams after whole ones.
+  const bool resumed = !mEvents.lastId().empty() || !mDetails.resumeAfter.empty();
+  const bool may_be_empty = resumed && mHead.framing != link::Framing::UntilClose;
+  return mStreaming && (mEvents.hasPartial() || (!mAttemptBodyStarted && !may_be_empty));
 }
 
 bool
@@ -249,6 +257,7 @@
     mHead = {};
     mAttemptBodyStarted.reset();
     mServedRecorded = false;
+    mEvents.startNextResponse();
     AttemptParameters parameters;
     parameters.upstream = entry->id;
     parameters.remaining = mDeadline - now;
@@ -334,13 +343,19 @@
   mHead = aHead;
   recordUpstreamState();
   const bool success = isSuccess(aHead.status);
+  // The body of a success that names no media type is checked to be an event stream.
+  const bool other_type =
+    link::findHeader(aHead.headers, "content-type") != nullptr && !isEventStream(aHead);
+  const bool wants_stream =
+    mRoute->kind == RequestKind::Stream && success && mRequest.method != "HEAD";
+  mStreaming = wants_stream && aHead.framing != link::Framing::None && !other_type;
   // Not forwarded: a response that says that the upstream did not execute the request or
-  // is not the intended one, a response without signature or this request's id, and a
-  // response other than a successful event stream to an attempt that resumes a stream.
+  // is not the intended one, a response without signature or this request's id, a success
+  // of a stream's route that is no event stream, and a response other than a successful
+  // event stream to an attempt that resumes a stream.
   mDiscarding = mMetadata.notExecuted || mMetadata.wrongUpstream || !mMetadata.isSigned ||
-                mMetadata.requestId != mDetails.id ||
-                (mHeadForwarded && !(success && isEventStream(aHead)));
-  mStreaming = mRoute->kind == RequestKind::Stream && success && isEventStream(aHead);
+                mMetadata.requestId != mDetails.id || (wants_stream && !mStreaming) ||
+                (mHeadForwarded && !(mStreaming && isEventStream(aHead)));
   mDiscardedBytes = 0;
   if (mDiscarding || !mStreaming) {
     return;
@@ -457,25 +472,23 @@
 void
 RequestTask::forwardEvents(std::string_view aData)
 {
-  if (mHead.framing == link::Framing::Length && !mRoute->resumable) {
-    // The caller was sent the length, so the bytes are forwarded unchanged.
-    mEventBytes += aData.size();
+  const auto events_before = mEvents.events();
+  const auto sound = mEvents.take(aData);
+  if (mEvents.events() > events_before) {
     mStreamTimes.recordEvents(mContext.loop.now());
     recordBodyOfAttempt();
-    mCaller->sendData(aData);
-  } else {
-    const auto events = mEvents.take(aData);
-    mEventBytes += events.size();
-    if (!events.empty()) {
-      mStreamTimes.recordEvents(mContext.loop.now());
-      recordBodyOfAttempt();
-    }
-    mCaller->sendData(events);
-    if (mEvents.eventTooLong()) {
-      mConnection->cancel();
-      exchangeFailed(link::ExchangeFault::Malformed);
-      return;
-    }
+  }
+  mCaller->sendData(sound);
+  if (mState == State::Ended) {
+    return; // the caller has disconnected
+  }
+  if (const auto fault = mEvents.fault()) {
+    mContext.metrics.add(
+      seriesOf("savoryrill_gateway_malformed_streams_total", "fault", nameOf(*fault)));
+    mConnection->cancel();
+    failAttempt(link::ExchangeFault::Malformed,
+                "malformed event stream: " + std::string(nameOf(*fault)));
+    return;
   }
   if (mConnection && mCaller->unsentBytes() > kMaxUnsentBytes) {
     mConnection->pause(true);
@@ -508,7 +521,7 @@
   if (mDiscarding) {
     mContext.selector.recordFailure(mUpstream, mContext.loop.now());
     logAttemptFailure("the upstream's response is unsigned, has no request id, or is no "
-                      "event stream when a stream is resumed; status " +
+                      "event stream although the request is for one; status " +
                       std::to_string(status));
     retryOrFail(true, RefusalReason::UpstreamFailed);
     return;
@@ -562,11 +575,17 @@
 
 void
 RequestTask::exchangeFailed(link::ExchangeFault aFault)
+{
+  failAttempt(aFault, nameOf(aFault));
+}
+
+void
+RequestTask::failAttempt(link::ExchangeFault aFault, std::string_view aReason)
 {
   const auto self = shared_from_this();
   releaseConnection(false);
   mContext.selector.recordFailure(mUpstream, mContext.loop.now());
-  logAttemptFailure(nameOf(aFault));
+  logAttemptFailure(aReason);
   const bool may_have_run =
     aFault == link::ExchangeFault::Broken || aFault == link::ExchangeFault::Malformed;
   if (aFault == link::ExchangeFault::Broken) {
@@ -579,15 +598,11 @@
     --mAttempts;
   }
   mExcluded.insert(mUpstream);
-  if (mHeadForwarded && (!mRoute->resumable || mEvents.lastId().empty())) {
-    // A resumable stream is requested again from its start if no event was forwarded, but
-    // cannot be resumed after events without an id.
-    if (mEventBytes > 0 || !mRoute->resumable) {
-      abortResponse("the upstream failed after a part of the response was forwarded");
-      return;
-    }
+  if (mHeadForwarded && !mRoute->resumable) {
+    abortResponse("the upstream failed after a part of the response was forwarded");
+    return;
   }
-  mEvents.dropPartial();
+  // A resumable stream goes on after its last event, or starts again if there was none.
   retryOrFail(mMayHaveRun, RefusalReason::OutcomeUnknown);
 }
 
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -125,6 +125,8 @@
   void responseData(std::string_view aData) override;
   void responseFinished() override;
   void exchangeFailed(link::ExchangeFault aFault) override;
+  /// Ends an attempt without a complete response. `aReason` is for the log.
+  void failAttempt(link::ExchangeFault aFault, std::string_view aReason);
 
   const serving::UpstreamGroup* groupProfile() const;
   UpstreamSelector::Query query() const;
@@ -208,7 +210,6 @@
   bool mStreaming = false;
   EventStream mEvents;
   StreamTimes mStreamTimes;
-  std::uint64_t mEventBytes = 0;
 };
 
 } // namespace savoryrill::gateway
