--- a/src/gateway/tests/eventstreamtest.cpp
+++ b/src/gateway/tests/eventstreamtest.cpp
@@ -69,7 +69,7 @@
     "id:1\ndata:a\ndata\ndata:  b\n\n",
     "id: 0\nevent: token\ndata: a\nretry: 500\n\nretry: 10\n\nretry\n: c\n\n"
     "event\nid: 1\ndata: b\n\n",
-    "x-savoryrill-weight-versions:7\nid: 5\ndata: a\n\n",
+    "x-version:7\nid: 5\ndata: a\n\n",
     "X-Other_field: any: value\nid: 9\ndata: {\"text\":\"id: 3\\n\"}\n\n",
     "id: 3\ndata: a\n\nid: 6\ndata: b\n\nid: 7\ndata: c\n\n", // not one by one
     "id: 9\ndata: a\n\nid: 10\ndata: b\n\nid: 18446744073709551615\ndata: c\n\n",
