--- a/src/gateway/tests/eventstreamtest.cpp
+++ b/src/gateway/tests/eventstreamtest.cpp
@@ -67,7 +67,7 @@
     ": comment\n\nid: 1\n: within\ndata: a\n\n:\n\n\n\n: at the end\n",
     "data: a\nid: 1\n\n",
     "id:1\ndata:a\ndata\ndata:  b\n\n",
-    "id: 0\nevent: token\ndata: a\nretry: 500\n\nretry: 10\n\nretry\n: c\n\n"
+    "id: 0\nevent: token\ndata: a\nretry: 500\n\nretry: 10\n\nretry\n: c\n\n",
     "event\nid: 1\ndata: b\n\n",
     "x-version:7\nid: 5\ndata: a\n\n",
     "X-Other_field: any: value\nid: 9\ndata: {\"text\":\"id: 3\\n\"}\n\n",
