--- a/src/serving/types/servingconfig.h
+++ b/src/serving/types/servingconfig.h
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "base/types/enumnames.h"
 #include "base/types/time.h"
+#include "serving/organisationdirectory.h"
 
 namespace savoryrill::serving {
 
@@ -43,6 +45,7 @@
   std::uint32_t maxAttempts = 1;  // maximum number of upstreams that receive a request
   bool resumable = false;
   bool affinity = false; // requests state their prompt prefix
+  bool needsKey = true;  // where the configuration names organisations
 };
 
 /// Size and load times of a model.
@@ -94,6 +97,8 @@
   std::vector<Route> routes;
   std::map<std::string, UpstreamGroup> groups;
   CallerLimits limits;
+  /// Null: callers need no key.
+  std::shared_ptr<const OrganisationDirectory> organisations;
 };
 
 } // namespace savoryrill::serving
