--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -289,6 +289,10 @@
       { { "version", mConfigVersion },
         { "row_version", row.version },
         { "routes", std::uint64_t{ config.value().routes.size() } } });
+    for (const auto& finding : config.value().findings) {
+      mDependencies.log.write(kConfigFinding,
+                              { { "version", mConfigVersion }, { "finding", finding } });
+    }
     const auto table = serving::RouteTable::create(std::move(config.value()));
     mScheduler.setRoutes(table);
     mLeader->setConfig(table->config());
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -167,5 +167,12 @@
   "upstream-pause",
   "An upstream refused a request and wants no other one from this host for `pause_ms`."
 };
+inline constexpr EventDefinition kConfigFinding{
+  4140,
+  Severity::Warning,
+  "config-finding",
+  "A part of the configuration in force is invalid and was left out or changed; see "
+  "`finding`."
+};
 
 } // namespace savoryrill::gateway
--- a/src/serving/internal/organisationdirectory.cpp
+++ b/src/serving/internal/organisationdirectory.cpp
@@ -17,6 +17,24 @@
   return start;
 }
 
+/// The name is sent to upstreams in a header, so it must not end the header's line.
+bool
+fitsIntoHeader(std::string_view aName)
+{
+  return aName.front() != ' ' && aName.back() != ' ' &&
+         std::ranges::none_of(aName, [](unsigned char aCharacter) {
+           return aCharacter < 0x20 || aCharacter == 0x7f;
+         });
+}
+
+void
+eraseKeys(OrganisationSpec& aSpec)
+{
+  for (auto& key : aSpec.keys) {
+    sodium_memzero(key.data(), key.size());
+  }
+}
+
 /// Raises a burst into which an ordinary request would never fit.
 void
 raiseBurst(Organisation& aOrganisation, std::vector<std::string>& aFindings)
@@ -38,6 +56,8 @@
 
 OrganisationDirectory::OrganisationDirectory()
 {
+  // Chooses the fast implementations; the portable ones serve if it fails.
+  [[maybe_unused]] const int result = sodium_init();
   randombytes_buf(mSecret.data(), mSecret.size());
 }
 
@@ -59,42 +79,41 @@
 {
   Created created;
   std::shared_ptr<OrganisationDirectory> directory(new OrganisationDirectory);
-  std::vector<OrganisationSpec> accepted;
+  std::vector<const OrganisationSpec*> accepted;
   for (auto& spec : aSpecs) {
     auto& organisation = spec.organisation;
     if (organisation.name.empty()) {
       created.findings.emplace_back("an organisation has no name and was left out");
+    } else if (!fitsIntoHeader(organisation.name)) {
+      created.findings.emplace_back(
+        "an organisation has a name that no header can carry and was left out");
     } else if (directory->mOrganisations.contains(organisation.name)) {
       created.findings.push_back("organisation " + organisation.name +
                                  " is named twice; the second was left out");
     } else {
       raiseBurst(organisation, created.findings);
       directory->mOrganisations[organisation.name] = organisation;
-      accepted.push_back(std::move(spec));
+      accepted.push_back(&spec);
     }
   }
   directory->addKeys(accepted, created.findings);
-  for (auto& spec : accepted) {
-    for (auto& key : spec.keys) {
-      sodium_memzero(key.data(), key.size());
-    }
-  }
+  std::ranges::for_each(aSpecs, eraseKeys);
   created.directory = std::move(directory);
   return created;
 }
 
 void
-OrganisationDirectory::addKeys(std::vector<OrganisationSpec>& aSpecs,
+OrganisationDirectory::addKeys(const std::vector<const OrganisationSpec*>& aSpecs,
                                std::vector<std::string>& aFindings)
 {
   std::map<Hash, std::set<std::string>> holders;
-  for (const auto& spec : aSpecs) {
-    for (const auto& key : spec.keys) {
+  for (const auto* spec : aSpecs) {
+    for (const auto& key : spec->keys) {
       if (key.empty()) {
-        aFindings.push_back("organisation " + spec.organisation.name +
+        aFindings.push_back("organisation " + spec->organisation.name +
                             " has an empty key, which is not accepted");
       } else {
-        holders[hashOf(key)].insert(spec.organisation.name);
+        holders[hashOf(key)].insert(spec->organisation.name);
       }
     }
   }
--- a/src/serving/organisationdirectory.h
+++ b/src/serving/organisationdirectory.h
@@ -26,8 +26,9 @@
   };
   /// Uses every valid part of the configuration, since a version that the store has
   /// acknowledged must take effect: a key of two organisations is accepted for neither,
-  /// an organisation without a name or with a repeated one is left out, and a burst below
-  /// the cost of one ordinary request is raised to it.
+  /// an organisation without a name, or with a repeated one or one that cannot be sent in
+  /// a header, is left out, and a burst below the cost of one ordinary request is raised
+  /// to it.
   static Created create(std::vector<OrganisationSpec> aSpecs);
 
   /// The organisation that holds the key; null if none does.
@@ -47,7 +48,7 @@
   };
   OrganisationDirectory();
   Hash hashOf(std::string_view aKey) const;
-  void addKeys(std::vector<OrganisationSpec>& aSpecs,
+  void addKeys(const std::vector<const OrganisationSpec*>& aSpecs,
                std::vector<std::string>& aFindings);
 
   Hash mSecret{};
--- a/src/serving/types/servingconfig.h
+++ b/src/serving/types/servingconfig.h
@@ -99,6 +99,8 @@
   CallerLimits limits;
   /// Null: callers need no key.
   std::shared_ptr<const OrganisationDirectory> organisations;
+  /// Errors of the configuration that do not prevent its use; they name no key.
+  std::vector<std::string> findings;
 };
 
 } // namespace savoryrill::serving
