--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -4,19 +4,18 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <random>
-#include <set>
 #include <string>
 
 #include "base/eventlog.h"
 #include "base/metrics.h"
 #include "event/loop.h"
+#include "gateway/internal/attempt.h"
 #include "gateway/internal/eventstream.h"
 #include "gateway/internal/quarantinetask.h"
 #include "gateway/internal/refusal.h"
+#include "gateway/internal/requeststate.h"
 #include "gateway/internal/streamtimes.h"
 #include "gateway/iprotocol.h"
-#include "gateway/types/responseprogress.h"
 #include "gateway/upstreamselector.h"
 #include "link/inboundconnection.h"
 #include "link/outboundconnection.h"
@@ -92,8 +91,9 @@
   /// run, or by aborting a response that has begun.
   void terminate(serving::RefusalReason aReason);
 
-  bool isWaiting() const { return mState == State::Waiting; }
-  bool ended() const { return mState == State::Ended; }
+  /// True while it waits for an upstream or for its model.
+  bool isWaiting() const { return std::holds_alternative<WaitingForUpstream>(mState); }
+  bool ended() const { return std::holds_alternative<Ended>(mState); }
   /// True if an upstream's response was forwarded completely.
   bool completed() const { return mCompleted; }
   const serving::ModelKey& model() const { return mDetails.model; }
@@ -112,14 +112,6 @@
   Instant objective() const { return mArrived + mRoute->objective; }
 
 private:
-  enum class State
-  {
-    Waiting,
-    AwaitingResponse,
-    Responding, // a part of the response has been forwarded
-    Ended
-  };
-
   bool matchesResponse(const link::ResponseHead& aHead) override;
   void responseStarted(const link::ResponseHead& aHead) override;
   void responseData(std::string_view aData) override;
@@ -153,7 +145,6 @@
   void forwardEvents(std::string_view aData);
   void sendBufferedResponse();
   void releaseConnection(bool aCancel);
-  ResponseProgress progressOfAttempt() const;
   void recordBodyOfAttempt();
   void logAttemptFailure(std::string_view aReason);
   /// Ends the request with a refusal, or by aborting a response that has begun.
@@ -179,35 +170,15 @@
   std::string mGroup;
   Instant mArrived;
   Instant mDeadline;
-  State mState = State::Waiting;
+  RequestState mState;
   event::Watch mTimer;
 
-  std::shared_ptr<link::OutboundConnection> mConnection;
-  std::string mUpstream;
-  std::int64_t mUpstreamBornMs = 0; // tells incarnations of the same id apart
-  std::string mPoolKey;
-  bool mConnectionReused = false; // it has carried an earlier request
-  std::set<std::string> mExcluded;
-  std::set<std::string> mRefusedBy;      // upstreams that refused this request as not run
-  std::uint32_t mPossibleRuns = 0;       // attempts that may have been executed
-  std::uint32_t mAttempts = 0;           // without those whose connection failed
-  std::uint32_t mConnectionAttempts = 0; // including failed connections
-  bool mMayHaveRun = false;
-  bool mServedRecorded = false; // in the current attempt
-  bool mAdmitted = false;       // to the queue, when the request first had to wait
+  Attempt mAttempt; // the current one, or else the last one
+  AttemptHistory mHistory;
+  bool mAdmitted = false; // to the queue, when the request first had to wait
   bool mCompleted = false;
-  Instant mAttemptStarted{};
-  /// When the first event or part of a body arrived in the current attempt.
-  std::optional<Instant> mAttemptBodyStarted;
   std::int64_t mWaitedMs = 0;
-
-  link::ResponseHead mHead;
-  ResponseMetadata mMetadata;
-  std::string mBufferedBody;
   bool mHeadForwarded = false;
-  bool mDiscarding = false;
-  std::size_t mDiscardedBytes = 0;
-  bool mStreaming = false;
   EventStream mEvents;
   StreamTimes mStreamTimes;
 };
