Authenticate requests with the keys of organisations

Where the configuration names organisations, a request needs a key of one of them unless its route is anonymous. The key is checked on arrival and before each attempt, against the configuration then in force and its confirmation. Upstreams receive the name of the organisation and never the key. Without organisations in the configuration, nothing changes.

--- a/src/config/gatewaysettings.h
+++ b/src/config/gatewaysettings.h
@@ -30,7 +30,10 @@
   double retryShare = 0.2;     // repeated sends for each request of an upstream group
   double retryReserve = 50;    // and this many more in a while, of all hosts together
   std::uint32_t maxConnections = 1500; // of callers
-  double linkMbps = 0;                 // of this host's network link; 0: not known
+  /// Age of the latest proof that the configuration is the newest, from which on requests
+  /// with keys are refused; zero: no bound.
+  Duration keyConfirmationTime{};
+  double linkMbps = 0; // of this host's network link; 0: not known
 };
 
 struct CheckedGatewaySettings
--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -14,6 +14,8 @@
 constexpr IntegerRange kTimeMs{ 0, 3'600'000 };
 // Below the least value the list would be read more than 16 times a second.
 constexpr IntegerRange kNoticeMs{ 100, 3'600'000 };
+// Zero: no bound.
+constexpr IntegerRange kConfirmationMs{ 0, 3'600'000 };
 constexpr IntegerRange kConnections{ 1, 1'000'000 };
 constexpr IntegerRange kLogRate{ 1024, 100'000'000 };
 constexpr Range<double> kShare{ 0.0, 10.0 };
@@ -49,6 +51,8 @@
     mRoot.real("retry_share", mSettings.retryShare, kShare);
     mRoot.real("retry_reserve", mSettings.retryReserve, kReserve);
     mRoot.integer("max_connections", mSettings.maxConnections, kConnections);
+    mRoot.milliseconds(
+      "key_confirmation_ms", mSettings.keyConfirmationTime, kConfirmationMs);
     mRoot.real("link_mbps", mSettings.linkMbps, kLinkMbps);
     mRoot.finish();
     return std::move(mSettings);
--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -54,6 +54,19 @@
   CHECK_TRUE(config::hasErrors(config::checkGatewaySettings("s", text).findings));
 }
 
+TEST(GatewaySettings, KeyConfirmation_ReadOrReported)
+{
+  CHECK_TRUE(config::checkGatewaySettings("s", whole).settings.keyConfirmationTime ==
+             Duration::zero());
+  auto text = whole;
+  text.insert(text.rfind('}'), R"(, "key_confirmation_ms": 5000)");
+  const auto checked = config::checkGatewaySettings("s", text);
+  LONGS_EQUAL(0, checked.findings.size());
+  CHECK_TRUE(checked.settings.keyConfirmationTime == 5s);
+  text.replace(text.find("5000"), 4, "-1");
+  CHECK_TRUE(mentions(config::checkGatewaySettings("s", text), "key_confirmation_ms"));
+}
+
 TEST(GatewaySettings, LinkBandwidthAndLeaveNotice_ReadOrReported)
 {
   auto text = whole;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -57,13 +57,15 @@
                     mDependencies.metrics,
                     mDependencies.store },
                   mDependencies.seed)
+    , mConfirmation(mSettings.keyConfirmationTime)
     , mScheduler({ mDependencies.loop,
                    mDependencies.log,
                    mDependencies.metrics,
                    mDependencies.requestProtocol,
                    mSelector,
                    mQuarantine,
-                   mPool },
+                   mPool,
+                   mConfirmation },
                  schedulerOptions(mSettings),
                  mDependencies.seed)
   {
@@ -106,6 +108,9 @@
   void sendWaiting();
   std::string readinessProblem() const;
   void logReadiness();
+  /// True if requests with keys are refused since the configuration may be outdated.
+  bool refusesKeys() const;
+  void logConfirmation();
   void tick();
   void continueDrain();
   std::string renderMetrics();
@@ -116,6 +121,7 @@
   link::OutboundPool mPool;
   link::RequestClient mControlClient;
   QuarantineTask mQuarantine;
+  serving::ConfigConfirmation mConfirmation;
   RequestScheduler mScheduler;
   std::unique_ptr<link::Listener> mCallerListener;
   std::unique_ptr<StatusServer> mReadinessServer;
@@ -128,6 +134,7 @@
   serving::UpstreamListChanges mUpstreamListChanges;
   bool mLeading = false;
   bool mUpstreamsKnown = false;
+  bool mKeysRefused = false; // as logged
   std::string mReadinessLogged = "unknown";
   std::uint64_t mIgnoredRows = 0;
   event::Watch mTick;
@@ -293,8 +300,10 @@
       mDependencies.log.write(kConfigFinding,
                               { { "version", mConfigVersion }, { "finding", finding } });
     }
+    mConfirmation.configApplied(mConfigVersion);
     const auto table = serving::RouteTable::create(std::move(config.value()));
     mScheduler.setRoutes(table);
+    logConfirmation();
     mLeader->setConfig(table->config());
     logReadiness();
   }
@@ -473,6 +482,9 @@
   if (!mScheduler.hasRoutes()) {
     return "no configuration";
   }
+  if (refusesKeys()) {
+    return "configuration not confirmed";
+  }
   return mUpstreamsKnown ? "" : "no list of upstreams";
 }
 
@@ -488,9 +500,34 @@
   }
 }
 
+bool
+GatewayImpl::refusesKeys() const
+{
+  return mScheduler.hasOrganisations() && !mConfirmation.valid(mDependencies.loop.now());
+}
+
+void
+GatewayImpl::logConfirmation()
+{
+  const bool refuses = refusesKeys();
+  if (refuses == mKeysRefused) {
+    return;
+  }
+  mKeysRefused = refuses;
+  if (refuses) {
+    const auto age = mConfirmation.age(mDependencies.loop.now());
+    mDependencies.metrics.add("savoryrill_gateway_config_unconfirmed_total");
+    mDependencies.log.write(kConfigUnconfirmed, { { "age_ms", age ? toMs(*age) : -1 } });
+  } else {
+    mDependencies.log.write(kConfigConfirmed);
+  }
+  logReadiness();
+}
+
 void
 GatewayImpl::tick()
 {
+  logConfirmation();
   std::vector<serving::DirectoryChange> changes;
   mSelector.directory().expire(mDependencies.loop.now(), changes);
   applyChanges(changes);
@@ -550,6 +587,11 @@
   metrics.set("savoryrill_gateway_upstream_connections_opened",
               static_cast<double>(mPool.opened()));
   metrics.set("savoryrill_gateway_ready", ready() ? 1 : 0);
+  metrics.set("savoryrill_gateway_config_unconfirmed", refusesKeys() ? 1 : 0);
+  if (const auto age = mConfirmation.age(mDependencies.loop.now())) {
+    metrics.set("savoryrill_gateway_config_confirmation_age_ms",
+                static_cast<double>(toMs(*age)));
+  }
   metrics.set("savoryrill_gateway_upstreams",
               static_cast<double>(mSelector.directory().entries().size()));
   return metrics.renderPrometheus();
--- a/src/gateway/internal/refusal.cpp
+++ b/src/gateway/internal/refusal.cpp
@@ -17,6 +17,24 @@
 // Without a leader: outages of the store last seconds, and callers retry only once or
 // twice, within a third of the time limit of a request.
 constexpr Duration kNoLeaderRetryAfter = 2s;
+// A host without a confirmation reads the store about once a second.
+constexpr Duration kUnconfirmedRetryAfter = 1s;
+// Retry-After is sent in hundredths of a second. Rounding down would bring callers back
+// just before there is room.
+constexpr Duration kRetryAfterUnit = 10ms;
+
+Duration
+defaultRetryAfter(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::NoLeader:
+      return kNoLeaderRetryAfter;
+    case RefusalReason::Unconfirmed:
+      return kUnconfirmedRetryAfter;
+    default:
+      return kDefaultRetryAfter;
+  }
+}
 
 } // namespace
 
@@ -33,6 +51,13 @@
     case RefusalReason::NoRoute:
       refusal.status = 404;
       return refusal;
+    case RefusalReason::MissingKey:
+    case RefusalReason::UnknownKey:
+      refusal.status = aMayHaveRun ? 502 : 401;
+      return refusal;
+    case RefusalReason::QuotaExceeded:
+      refusal.status = aMayHaveRun ? 502 : 429;
+      break;
     case RefusalReason::OutcomeUnknown:
     case RefusalReason::UpstreamFailed:
       refusal.status = aMayHaveRun ? 502 : 503;
@@ -45,9 +70,11 @@
       break;
   }
   if (!aMayHaveRun) {
-    const Duration unknown =
-      aReason == RefusalReason::NoLeader ? kNoLeaderRetryAfter : kDefaultRetryAfter;
-    refusal.retryAfter = std::max(kMinRetryAfter, aReadyIn.value_or(unknown));
+    const Duration ready_in = aReadyIn.value_or(defaultRetryAfter(aReason));
+    refusal.retryAfter = std::max(kMinRetryAfter, ready_in);
+    if (aReason == RefusalReason::QuotaExceeded) {
+      *refusal.retryAfter += kRetryAfterUnit;
+    }
   }
   return refusal;
 }
@@ -62,6 +89,9 @@
   if (!aRequestId.empty()) {
     head.headers.push_back({ "X-Request-Id", aRequestId });
   }
+  if (aRefusal.status == 401) {
+    head.headers.push_back({ "WWW-Authenticate", "Token" });
+  }
   if (aRefusal.retryAfter) {
     std::array<char, 32> seconds{};
     std::snprintf(
@@ -82,12 +112,14 @@
 std::string
 reasonPhrase(int aStatus)
 {
-  constexpr std::array<std::pair<int, const char*>, 9> kPhrases{ {
+  constexpr std::array<std::pair<int, const char*>, 11> kPhrases{ {
     { 200, "OK" },
     { 400, "Bad Request" },
+    { 401, "Unauthorized" },
     { 404, "Not Found" },
     { 408, "Request Timeout" },
     { 413, "Content Too Large" },
+    { 429, "Too Many Requests" },
     { 431, "Request Header Fields Too Large" },
     { 502, "Bad Gateway" },
     { 503, "Service Unavailable" },
--- a/src/gateway/internal/refusal.h
+++ b/src/gateway/internal/refusal.h
@@ -19,9 +19,9 @@
 };
 
 /// Chooses status and Retry-After for a request that ends without an upstream's response.
-/// The statuses 503 and 408 state that the request has not run and never will, so they
-/// are used only if `aMayHaveRun` is false. `aReadyIn` is the expected time until the
-/// request can run, if known. Thread safe.
+/// The statuses 401, 429, 503 and 408 state that the request has not run and never will,
+/// so they are used only if `aMayHaveRun` is false. `aReadyIn` is the expected time until
+/// the request can run, if known. Thread safe.
 Refusal
 refusalFor(serving::RefusalReason aReason,
            bool aMayHaveRun,
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -284,7 +284,7 @@
     const bool may_retry = mRoute->kind == RequestKind::Repeatable && !mHeadForwarded &&
                            mHistory.possibleRuns < mRoute->maxAttempts &&
                            mDeadline - mContext.loop.now() > kMinServiceTime;
-    if (may_retry && mOwner.takeRetry(mGroup)) {
+    if (may_retry && !authenticationProblem() && mOwner.takeRetry(mGroup)) {
       logAttemptFailure("status " + std::to_string(status));
       mHistory.excluded.insert(mAttempt.upstream);
       // If no other upstream is available, the caller receives this response.
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -62,7 +62,7 @@
   const std::shared_ptr<link::InboundConnection>& aConnection,
   link::RequestMessage aRequest)
 {
-  const auto details = mContext.protocol.readRequest(aRequest);
+  auto details = mContext.protocol.readRequest(aRequest);
   if (!mRoutes) {
     refuseOnArrival(aConnection,
                     details ? details.value().id : "",
@@ -90,6 +90,16 @@
     refuseOnArrival(aConnection, "", aRequest.target, RefusalReason::BadRequest);
     return;
   }
+  serving::CallerAuthentication authentication(
+    route->needsKey, std::exchange(details.value().key, std::string()));
+  if (organisations()) {
+    mContext.protocol.eraseKey(aRequest);
+  }
+  const bool confirmed = mContext.confirmation.valid(mContext.loop.now());
+  if (const auto problem = authentication.check(organisations(), confirmed)) {
+    refuseOnArrival(aConnection, details.value().id, aRequest.target, *problem);
+    return;
+  }
   const double random = std::uniform_real_distribution<double>(0, 1)(mRandom);
   const auto& group = serving::RouteTable::chooseGroup(*route, random);
   budgetOf(group).requestArrived();
@@ -100,7 +110,8 @@
                                                static_cast<IRequestOwner&>(*this),
                                                aConnection,
                                                std::move(aRequest),
-                                               details.value(),
+                                               std::move(details.value()),
+                                               std::move(authentication),
                                                mRoutes,
                                                *route,
                                                group);
--- a/src/gateway/internal/requestscheduler.h
+++ b/src/gateway/internal/requestscheduler.h
@@ -37,6 +37,7 @@
 
   void setOptions(Options aOptions);
   void setRoutes(std::shared_ptr<const serving::RouteTable> aRoutes);
+  bool hasOrganisations() const { return organisations() != nullptr; }
   bool hasRoutes() const { return mRoutes != nullptr; }
   void setHostCount(std::uint32_t aHostCount);
   /// Closes each inbound connection after its response from now on.
@@ -84,6 +85,10 @@
   void onUpstreamLeaving(const std::string& aUpstream, std::int64_t aBornMs) override;
   bool takeRetry(const std::string& aGroup) override;
   std::uint32_t hostCount() const override { return mHostCount; }
+  serving::CallerAuthentication::Directory organisations() const override
+  {
+    return mRoutes ? mRoutes->config().organisations : nullptr;
+  }
 
   void refuseOnArrival(const std::shared_ptr<link::InboundConnection>& aConnection,
                        const std::string& aRequestId,
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -35,6 +35,7 @@
                          std::shared_ptr<link::InboundConnection> aCaller,
                          link::RequestMessage aRequest,
                          serving::RequestDetails aDetails,
+                         serving::CallerAuthentication aAuthentication,
                          std::shared_ptr<const serving::RouteTable> aRoutes,
                          const serving::Route& aRoute,
                          std::string aGroup)
@@ -43,6 +44,7 @@
   , mCaller(std::move(aCaller))
   , mRequest(std::move(aRequest))
   , mDetails(std::move(aDetails))
+  , mAuthentication(std::move(aAuthentication))
   , mRoutes(std::move(aRoutes))
   , mRoute(&aRoute)
   , mGroup(std::move(aGroup))
@@ -122,7 +124,8 @@
 RequestTask::sendIfPossible()
 {
   const auto self = shared_from_this();
-  if (isWaiting() && !refuseQuarantined() && !startAttempt()) {
+  if (isWaiting() && !refuseUnauthenticated() && !refuseQuarantined() &&
+      !startAttempt()) {
     waitOrRefuse();
   }
 }
@@ -136,6 +139,23 @@
   }
 }
 
+std::optional<RefusalReason>
+RequestTask::authenticationProblem()
+{
+  return mAuthentication.check(mOwner.organisations(),
+                               mContext.confirmation.valid(mContext.loop.now()));
+}
+
+bool
+RequestTask::refuseUnauthenticated()
+{
+  const auto problem = authenticationProblem();
+  if (problem) {
+    refuse(mHistory.mayHaveRun ? RefusalReason::OutcomeUnknown : *problem);
+  }
+  return problem.has_value();
+}
+
 bool
 RequestTask::refuseQuarantined()
 {
@@ -185,7 +205,13 @@
     AttemptParameters parameters;
     parameters.upstream = entry->id;
     parameters.remaining = mDeadline - now;
-    parameters.urgency = std::min(9U, mRoute->priority);
+    parameters.urgency = std::min(9U, priority());
+    const auto* organisation = mAuthentication.organisation();
+    if (organisation != nullptr) {
+      parameters.organisation = organisation->name;
+    }
+    parameters.replacesOrganisation =
+      organisation != nullptr || mOwner.organisations() != nullptr;
     parameters.resumeAfter = mEvents.lastId();
     ++mHistory.attempts;
     mContext.selector.recordStart(mAttempt.upstream, now);
@@ -245,7 +271,7 @@
   // Failed connections do not use up the retry budget; attempts do, even if declined.
   if (allowed && in_time && mHistory.maySend() &&
       (mHistory.attempts == 0 || mOwner.takeRetry(mGroup))) {
-    if (refuseQuarantined() || startAttempt()) {
+    if (refuseUnauthenticated() || refuseQuarantined() || startAttempt()) {
       return;
     }
     if (mHeadForwarded) {
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -20,6 +20,8 @@
 #include "link/inboundconnection.h"
 #include "link/outboundconnection.h"
 #include "routing/retrybudget.h"
+#include "serving/callerauthentication.h"
+#include "serving/configconfirmation.h"
 #include "serving/routetable.h"
 #include "serving/types/requestdetails.h"
 
@@ -37,6 +39,7 @@
   UpstreamSelector& selector;
   QuarantineTask& quarantine;
   link::OutboundPool& pool;
+  const serving::ConfigConfirmation& confirmation;
 };
 
 /// Owner of the requests. Requests notify it of changes that concern other requests.
@@ -54,14 +57,16 @@
   /// Takes one retry from this host's part of the budget that all hosts share; false if
   /// none is left.
   virtual bool takeRetry(const std::string& aGroup) = 0;
+  /// Of the configuration in force; null if it names no organisations.
+  virtual serving::CallerAuthentication::Directory organisations() const = 0;
   /// Number of hosts that share the connections of an upstream.
   virtual std::uint32_t hostCount() const = 0;
 };
 
 /// One request of a caller from its arrival to its final response. Sends it to one
 /// upstream at a time. A request that is not safe to retry is sent again only if no byte
-/// of it left this host or the upstream stated that it did not execute it. Not thread
-/// safe.
+/// of it left this host or the upstream stated that it did not execute it. Before each
+/// attempt, its key is checked against the configuration then in force. Not thread safe.
 class RequestTask
   : public std::enable_shared_from_this<RequestTask>
   , private link::IExchangeHandler
@@ -72,6 +77,7 @@
               std::shared_ptr<link::InboundConnection> aCaller,
               link::RequestMessage aRequest,
               serving::RequestDetails aDetails,
+              serving::CallerAuthentication aAuthentication,
               std::shared_ptr<const serving::RouteTable> aRoutes,
               const serving::Route& aRoute,
               std::string aGroup);
@@ -98,7 +104,13 @@
   bool completed() const { return mCompleted; }
   const serving::ModelKey& model() const { return mDetails.model; }
   const std::string& group() const { return mGroup; }
-  std::uint32_t priority() const { return mRoute->priority; }
+  /// That of the organisation takes precedence over that of the route.
+  std::uint32_t priority() const
+  {
+    const auto* organisation = mAuthentication.organisation();
+    return organisation != nullptr ? organisation->priority.value_or(mRoute->priority)
+                                   : mRoute->priority;
+  }
   Instant arrived() const { return mArrived; }
   /// When the caller gives up if it receives nothing more until then. Callers disconnect
   /// after `callerTimeout` without an event of a stream.
@@ -126,6 +138,12 @@
   /// unknown.
   std::optional<Duration> expectedDelay() const;
   bool startAttempt();
+  /// Why the request must not be sent under the configuration now in force; nullopt if it
+  /// may be.
+  std::optional<serving::RefusalReason> authenticationProblem();
+  /// Refuses the request if it must not be sent under the configuration now in force;
+  /// true if so.
+  bool refuseUnauthenticated();
   /// Refuses the request if a part of its prompt is in quarantine; true if so.
   bool refuseQuarantined();
   /// Tells the quarantine that the upstream has dealt with the request without crashing.
@@ -165,6 +183,7 @@
   std::shared_ptr<link::InboundConnection> mCaller;
   link::RequestMessage mRequest;
   serving::RequestDetails mDetails;
+  serving::CallerAuthentication mAuthentication;
   std::shared_ptr<const serving::RouteTable> mRoutes;
   const serving::Route* mRoute;
   std::string mGroup;
--- a/src/gateway/iprotocol.h
+++ b/src/gateway/iprotocol.h
@@ -21,6 +21,10 @@
   Duration remaining{};      // until the response is due
   std::uint32_t urgency = 5; // 0 is the most urgent
   std::string resumeAfter;   // id of the last event forwarded to the caller; empty: none
+  /// Set where the configuration names organisations: the upstream receives neither the
+  /// caller's key nor a name of an organisation that the caller states.
+  bool replacesOrganisation = false;
+  std::string organisation; // sent to the upstream then; empty: none
 };
 
 /// What a response head says about the exchange, apart from status and body.
@@ -44,13 +48,16 @@
 {
 public:
   virtual ~IRequestProtocol() = default;
-  /// Reads the details of a caller's request. Fails with InvalidArgument if required
-  /// details are missing or malformed.
+  /// Reads the details of a caller's request, including its key. Fails with
+  /// InvalidArgument if required details are missing or malformed; the error does not
+  /// quote the request.
   virtual Result<serving::RequestDetails> readRequest(
     const link::RequestMessage& aRequest) const = 0;
   /// Serialises a request for one attempt at an upstream.
   virtual std::string writeRequest(const link::RequestMessage& aRequest,
                                    const AttemptParameters& aParameters) const = 0;
+  /// Overwrites the key in a request that has been read.
+  virtual void eraseKey(link::RequestMessage& aRequest) const = 0;
   virtual ResponseMetadata readMetadata(const link::ResponseHead& aHead) const = 0;
 };
 
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -174,5 +174,18 @@
   "A part of the configuration in force is invalid and was left out or changed; see "
   "`finding`."
 };
+inline constexpr EventDefinition kConfigUnconfirmed{
+  4131,
+  Severity::Warning,
+  "config-unconfirmed",
+  "The configuration may be outdated, so requests with keys are refused; `age_ms` is the "
+  "age of its latest confirmation, -1 if there was none."
+};
+inline constexpr EventDefinition kConfigConfirmed{
+  4132,
+  Severity::Info,
+  "config-confirmed",
+  "The configuration is confirmed again, so requests with keys are accepted."
+};
 
 } // namespace savoryrill::gateway
--- a/src/serving/types/requestdetails.h
+++ b/src/serving/types/requestdetails.h
@@ -24,6 +24,7 @@
   /// Ids of the prompt's parts that other requests may share, in order.
   std::vector<std::string> sharedParts;
   std::string resumeAfter; // id of the caller's last event, empty: from the start
+  std::string key;         // of the caller; empty: none. Never logged
 };
 
 /// Why a request ended without a usable response from an upstream.
@@ -39,11 +40,15 @@
   Overloaded,     // the backlog of its model takes longer than its objective
   DeadlinePassed, // it waited until the deadline or the route's timeout
   Stopping,
-  OutcomeUnknown,    // it was sent to an upstream and may have run
-  UpstreamFailed,    // the upstream's response was unusable
-  PromptQuarantined, // a part of its prompt crashes upstreams
-  UpstreamsNotTaking // all upstreams that could run it want no request from this host
-                     // before its deadline
+  OutcomeUnknown,     // it was sent to an upstream and may have run
+  UpstreamFailed,     // the upstream's response was unusable
+  PromptQuarantined,  // a part of its prompt crashes upstreams
+  UpstreamsNotTaking, // all upstreams that could run it want no request from this host
+                      // before its deadline
+  MissingKey,         // its route needs a key
+  UnknownKey,         // its key belongs to no organisation, or no longer to the same one
+  Unconfirmed,        // this host's configuration, and so its keys, may be outdated
+  QuotaExceeded       // the quota of its organisation is used up
 };
 
 } // namespace savoryrill::serving
@@ -53,7 +58,7 @@
 template<>
 struct EnumNames<serving::RefusalReason>
 {
-  static constexpr EnumTable<serving::RefusalReason, 14> kTable{ {
+  static constexpr EnumTable<serving::RefusalReason, 18> kTable{ {
     { serving::RefusalReason::NoConfiguration, "no-configuration" },
     { serving::RefusalReason::NoRoute, "no-route" },
     { serving::RefusalReason::BadRequest, "bad-request" },
@@ -68,6 +73,10 @@
     { serving::RefusalReason::UpstreamFailed, "upstream-failed" },
     { serving::RefusalReason::PromptQuarantined, "prompt-quarantined" },
     { serving::RefusalReason::UpstreamsNotTaking, "upstreams-not-taking" },
+    { serving::RefusalReason::MissingKey, "missing-key" },
+    { serving::RefusalReason::UnknownKey, "unknown-key" },
+    { serving::RefusalReason::Unconfirmed, "unconfirmed" },
+    { serving::RefusalReason::QuotaExceeded, "quota-exceeded" },
   } };
 };
 
