Ask for the quota of an organisation before a request is served

A request of an organisation with a quota is charged after its authentication. It waits for the outcome for up to a quarter of its objective, at least 100 ms, and is refused with 429 and the time until there is room if the quota is used up. The charge of a request that has not run is given back. Metrics count requests and tokens by organisation.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -57,6 +57,7 @@
                     mDependencies.metrics,
                     mDependencies.store },
                   mDependencies.seed)
+    , mOrganisationMetrics(mDependencies.metrics)
     , mConfirmation(mSettings.keyConfirmationTime)
     , mScheduler({ mDependencies.loop,
                    mDependencies.log,
@@ -65,7 +66,8 @@
                    mSelector,
                    mQuarantine,
                    mPool,
-                   mConfirmation },
+                   mConfirmation,
+                   mOrganisationMetrics },
                  schedulerOptions(mSettings),
                  mDependencies.seed)
   {
@@ -121,6 +123,7 @@
   link::OutboundPool mPool;
   link::RequestClient mControlClient;
   QuarantineTask mQuarantine;
+  OrganisationMetrics mOrganisationMetrics;
   serving::ConfigConfirmation mConfirmation;
   RequestScheduler mScheduler;
   std::unique_ptr<link::Listener> mCallerListener;
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -173,8 +173,8 @@
 RequestScheduler::refuseNew()
 {
   mRefusesNew = true;
-  const auto waiting = mWaiting;
-  for (const auto& request : waiting) {
+  const auto requests = mRequests;
+  for (const auto& request : requests) {
     request->refuseIfWaiting(RefusalReason::Stopping);
   }
 }
@@ -250,7 +250,7 @@
   mArrivals.clear();
   mFinished.clear();
   for (const auto& request : mRequests) {
-    if (request->model().model.empty()) {
+    if (request->model().model.empty() || request->isAwaitingQuota()) {
       continue;
     }
     auto& item = items[request->model()];
--- a/src/gateway/internal/requestscheduler.h
+++ b/src/gateway/internal/requestscheduler.h
@@ -39,6 +39,8 @@
   void setRoutes(std::shared_ptr<const serving::RouteTable> aRoutes);
   bool hasOrganisations() const { return organisations() != nullptr; }
   bool hasRoutes() const { return mRoutes != nullptr; }
+  /// `aQuotas` outlives the requests; null: no organisation has a limit.
+  void setQuotas(IQuotas* aQuotas) { mContext.quotas = aQuotas; }
   void setHostCount(std::uint32_t aHostCount);
   /// Closes each inbound connection after its response from now on.
   void startDraining() { mDraining = true; }
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/waitingdecision.h"
 #include "gateway/types/gatewayevents.h"
 #include "serving/admission.h"
+#include "serving/requestcost.h"
 
 namespace savoryrill::gateway {
 
@@ -17,6 +18,11 @@
 // The final response is sent at most this long after the deadline, so that an upstream's
 // own response at the deadline still arrives.
 constexpr Duration kResponseGrace = 150ms;
+// Part of the objective for which a request waits for its quota, and the least time: the
+// rest is left for an upstream, and an issuer of quotas responds within a few round
+// trips.
+constexpr int kQuotaWaitDivisor = 4;
+constexpr Duration kMinQuotaWait = 100ms;
 
 std::string
 joined(const std::vector<std::string>& aParts)
@@ -115,6 +121,68 @@
     refuse(RefusalReason::NoUpstream);
     return;
   }
+  requestQuota();
+}
+
+void
+RequestTask::requestQuota()
+{
+  const auto* organisation = mAuthentication.organisation();
+  if (mContext.quotas == nullptr || organisation == nullptr || !organisation->quota) {
+    serve();
+    return;
+  }
+  mState = AwaitingQuota{};
+  auto pending =
+    mContext.quotas->admit(organisation->name,
+                           serving::costOf(mDetails, *organisation->quota),
+                           std::max(kMinQuotaWait, mRoute->objective / kQuotaWaitDivisor),
+                           [weak = weak_from_this()](const QuotaOutcome& aOutcome) {
+                             if (const auto self = weak.lock()) {
+                               self->onQuotaOutcome(aOutcome);
+                             }
+                           });
+  if (auto* awaiting = std::get_if<AwaitingQuota>(&mState)) {
+    awaiting->pending = std::move(pending);
+  }
+}
+
+void
+RequestTask::onQuotaOutcome(const QuotaOutcome& aOutcome)
+{
+  if (!isAwaitingQuota()) {
+    return;
+  }
+  if (const auto* denial = std::get_if<serving::QuotaDenial>(&aOutcome)) {
+    refuse(RefusalReason::QuotaExceeded, denial->roomIn);
+    return;
+  }
+  mCharge = std::get<QuotaCharge>(aOutcome);
+  serve();
+}
+
+void
+RequestTask::refundQuota()
+{
+  const bool may_have_run = mHistory.mayHaveRun || mHeadForwarded || mCompleted;
+  if (mCharge && !may_have_run) {
+    mContext.quotas->refund(*mCharge);
+  }
+  mCharge.reset();
+}
+
+void
+RequestTask::serve()
+{
+  // The configuration may have changed while the request waited for its quota.
+  if (refuseUnauthenticated()) {
+    return;
+  }
+  if (const auto* organisation = mAuthentication.organisation()) {
+    const auto& quota = organisation->quota;
+    mContext.organisationMetrics.recordAdmitted(
+      organisation->name, serving::tokensOf(mDetails, quota ? quota->defaultTokens : 0));
+  }
   if (!refuseQuarantined() && !startAttempt()) {
     waitOrRefuse();
   }
@@ -134,7 +202,7 @@
 RequestTask::refuseIfWaiting(RefusalReason aReason)
 {
   const auto self = shared_from_this();
-  if (isWaiting()) {
+  if (isWaiting() || isAwaitingQuota()) {
     refuse(aReason);
   }
 }
@@ -151,7 +219,9 @@
 {
   const auto problem = authenticationProblem();
   if (problem) {
-    refuse(mHistory.mayHaveRun ? RefusalReason::OutcomeUnknown : *problem);
+    // The time until the model is ready says nothing about the configuration.
+    refuse(mHistory.mayHaveRun ? RefusalReason::OutcomeUnknown : *problem,
+           Duration::zero());
   }
   return problem.has_value();
 }
@@ -340,6 +410,9 @@
     refusalFor(aReason, mHistory.mayHaveRun, known ? delay : std::nullopt);
   mContext.metrics.add(
     seriesOf("savoryrill_gateway_refusals_total", "reason", nameOf(aReason)));
+  if (const auto* organisation = mAuthentication.organisation()) {
+    mContext.organisationMetrics.recordRefused(organisation->name, aReason);
+  }
   mContext.log.write(kCallRefused,
                      { { "call", mDetails.id },
                        { "route", mRoute->name },
@@ -386,8 +459,10 @@
                      { { "call", mDetails.id },
                        { "route", mRoute->name },
                        { "upstream", mAttempt.upstream },
-                       { "waiting", isWaiting() ? "yes" : "no" },
+                       { "waiting", isWaiting() || isAwaitingQuota() ? "yes" : "no" },
                        { "after_ms", elapsedMs() } });
+  mHistory.mayHaveRun =
+    mHistory.mayHaveRun || (mAttempt.connection && mAttempt.connection->requestStarted());
   releaseConnection(true);
   end();
 }
@@ -397,6 +472,7 @@
 {
   const auto self = shared_from_this();
   std::visit(StateVisitor{ [&](const WaitingForUpstream&) { refuse(aReason); },
+                           [&](const AwaitingQuota&) { refuse(aReason); },
                            [&](const AwaitingResponse&) {
                              mHistory.mayHaveRun = mHistory.mayHaveRun ||
                                                    mAttempt.connection->requestStarted();
@@ -409,7 +485,7 @@
                              abortResponse(nameOf(aReason));
                            },
                            [](const Ended&) {} },
-             RequestState(mState));
+             mState);
 }
 
 void
@@ -418,6 +494,7 @@
   mState = Ended{};
   mTimer.reset();
   releaseConnection(true);
+  refundQuota();
   mOwner.onRequestEnded(*this);
 }
 
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -11,6 +11,7 @@
 #include "event/loop.h"
 #include "gateway/internal/attempt.h"
 #include "gateway/internal/eventstream.h"
+#include "gateway/internal/organisationmetrics.h"
 #include "gateway/internal/quarantinetask.h"
 #include "gateway/internal/refusal.h"
 #include "gateway/internal/requeststate.h"
@@ -40,6 +41,8 @@
   QuarantineTask& quarantine;
   link::OutboundPool& pool;
   const serving::ConfigConfirmation& confirmation;
+  OrganisationMetrics& organisationMetrics;
+  IQuotas* quotas = nullptr; // null: no organisation has a limit
 };
 
 /// Owner of the requests. Requests notify it of changes that concern other requests.
@@ -90,7 +93,7 @@
   /// time any more.
   void sendIfPossible();
 
-  /// Refuses the request if it is waiting.
+  /// Refuses the request if it is waiting, also for its quota.
   void refuseIfWaiting(serving::RefusalReason aReason);
 
   /// Ends the request in any state: with a refusal, which says if the request may have
@@ -99,6 +102,7 @@
 
   /// True while it waits for an upstream or for its model.
   bool isWaiting() const { return std::holds_alternative<WaitingForUpstream>(mState); }
+  bool isAwaitingQuota() const { return std::holds_alternative<AwaitingQuota>(mState); }
   bool ended() const { return std::holds_alternative<Ended>(mState); }
   /// True if an upstream's response was forwarded completely.
   bool completed() const { return mCompleted; }
@@ -137,6 +141,13 @@
   /// Expected time until the request could run, as reported by the leader; nullopt if
   /// unknown.
   std::optional<Duration> expectedDelay() const;
+  /// Charges the request to the quota of its organisation, then serves it.
+  void requestQuota();
+  void onQuotaOutcome(const QuotaOutcome& aOutcome);
+  /// Sends, queues or refuses a request within its quota.
+  void serve();
+  /// Gives the charge back if the request has not run.
+  void refundQuota();
   bool startAttempt();
   /// Why the request must not be sent under the configuration now in force; nullopt if it
   /// may be.
@@ -192,6 +203,7 @@
   RequestState mState;
   event::Watch mTimer;
 
+  std::optional<QuotaCharge> mCharge;
   Attempt mAttempt; // the current one, or else the last one
   AttemptHistory mHistory;
   bool mAdmitted = false; // to the queue, when the request first had to wait
--- a/src/gateway/iquotas.h
+++ b/src/gateway/iquotas.h
@@ -24,7 +24,8 @@
 class IQuotas
 {
 public:
-  /// A request that waits for its outcome. Destroying it withdraws the request.
+  /// A request that waits for its outcome. Destroying it withdraws the request; it may be
+  /// destroyed within its callback, too.
   class Pending
   {
   public:
