Confirm the configuration across hosts

Cause: a host cannot show that its configuration is the store's newest, so a key that was removed would be accepted for as long as the host is suspended or cut off. Change: where the configuration names organisations and key_confirmation_ms is set, the leader reads the configuration about twice a second and sends each follower a confirmation that counts from the follower's last report before the read. A follower without one for 2 s reads the store about once a second. Only reads of changes confirm, from their start, and only if no response has stated a newer version before. The times of demand reports are kept at most 25 ms apart, since 64 of them covered less than a second at a host that reports each new demand. While the newest row cannot be used it is read again, and nothing is confirmed. Without organisations or without the setting the reads and messages are the same as before.

--- a/src/config/gatewaysettings.h
+++ b/src/config/gatewaysettings.h
@@ -27,8 +27,11 @@
   Duration drainLimit = 8s;    // between SIGTERM and the end of the process
   Duration leaveNotice = 2s;   // for which an upstream that leaves goes on serving
   Duration orderTurnTime = 3s; // between orders of two hosts to one engine
-  double retryShare = 0.2;     // repeated sends for each request of an upstream group
-  double retryReserve = 50;    // and this many more in a while, of all hosts together
+  /// Time after which a configuration that the store has not confirmed is no longer used
+  /// to accept keys; zero: no bound.
+  Duration keyConfirmationTime = Duration::zero();
+  double retryShare = 0.2;  // repeated sends for each request of an upstream group
+  double retryReserve = 50; // and this many more in a while, of all hosts together
   std::uint32_t maxConnections = 1500; // of callers
   double linkMbps = 0;                 // of this host's network link; 0: not known
 };
--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -14,6 +14,9 @@
 constexpr IntegerRange kTimeMs{ 0, 3'600'000 };
 // Below the least value the list would be read more than 16 times a second.
 constexpr IntegerRange kNoticeMs{ 100, 3'600'000 };
+constexpr IntegerRange kConfirmationMs{ 0, 3'600'000 };
+// A host without a leader reads the store after 2 s, and a read may take more than 1 s.
+constexpr Duration kMinConfirmationTime = 4s;
 constexpr IntegerRange kConnections{ 1, 1'000'000 };
 constexpr IntegerRange kLogRate{ 1024, 100'000'000 };
 constexpr Range<double> kShare{ 0.0, 10.0 };
@@ -46,6 +49,9 @@
     mRoot.milliseconds("drain_limit_ms", mSettings.drainLimit, kTimeMs);
     mRoot.milliseconds("leave_notice_ms", mSettings.leaveNotice, kNoticeMs);
     mRoot.milliseconds("order_turn_ms", mSettings.orderTurnTime, kTimeMs);
+    mRoot.milliseconds(
+      "key_confirmation_ms", mSettings.keyConfirmationTime, kConfirmationMs);
+    checkConfirmationTime();
     mRoot.real("retry_share", mSettings.retryShare, kShare);
     mRoot.real("retry_reserve", mSettings.retryReserve, kReserve);
     mRoot.integer("max_connections", mSettings.maxConnections, kConnections);
@@ -55,6 +61,16 @@
   }
 
 private:
+  void checkConfirmationTime()
+  {
+    const auto time = mSettings.keyConfirmationTime;
+    if (time > Duration::zero() && time < kMinConfirmationTime) {
+      mContext.warning(mRoot.pathOf("key_confirmation_ms"),
+                       "below " + std::to_string(toMs(kMinConfirmationTime)) +
+                         ": each change of the leader may refuse requests with keys");
+    }
+  }
+
   bool readAddress(std::string_view aKey,
                    SocketAddress& aTarget,
                    Presence aPresence = Presence::Required)
--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -67,6 +67,24 @@
   CHECK_TRUE(mentions(config::checkGatewaySettings("s", text), "link_mbps"));
 }
 
+// Guards against a bound that each change of the leader exceeds, without a finding.
+TEST(GatewaySettings, KeyConfirmationTime_ReadOrReported)
+{
+  const auto with = [&](const std::string& aValue) {
+    auto text = whole;
+    text.insert(text.find('{') + 1, "\"key_confirmation_ms\": " + aValue + ",");
+    return config::checkGatewaySettings("s", text);
+  };
+  const auto none = config::checkGatewaySettings("s", whole);
+  CHECK_TRUE(none.settings.keyConfirmationTime == Duration::zero());
+  const auto usual = with("5000");
+  CHECK_TRUE(usual.settings.keyConfirmationTime == 5s);
+  LONGS_EQUAL(0, usual.findings.size());
+  CHECK_TRUE(mentions(with("2000"), "key_confirmation_ms"));
+  CHECK_FALSE(config::hasErrors(with("2000").findings));
+  CHECK_TRUE(config::hasErrors(with("-1").findings));
+}
+
 TEST(GatewaySettings, FileIsMissing_NotFound)
 {
   const auto read = config::readGatewaySettings("/nonexistent/settings.jsonc");
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -4,12 +4,14 @@
 #include <set>
 
 #include "base/types/baseevents.h"
+#include "gateway/internal/confirmationtask.h"
 #include "gateway/internal/leadertask.h"
 #include "gateway/internal/quarantinetask.h"
 #include "gateway/internal/requestscheduler.h"
 #include "gateway/internal/statusserver.h"
 #include "gateway/internal/tablefollower.h"
 #include "gateway/types/gatewayevents.h"
+#include "serving/configconfirmation.h"
 #include "serving/upstreamlistchanges.h"
 
 namespace savoryrill::gateway {
@@ -66,6 +68,7 @@
                    mPool },
                  schedulerOptions(mSettings),
                  mDependencies.seed)
+    , mConfirmation(mSettings.keyConfirmationTime)
   {
   }
 
@@ -92,10 +95,12 @@
   Result<void> startServers();
   void startFollowers();
   void applyConfigRows(const RowSet& aRows);
+  void recordUnusableConfig(const StoredRow& aRow, const Error& aError);
   void applyUpstreamRows(const RowSet& aRows, bool aAllRows);
   void applyListUpdate(const serving::UpstreamListUpdate& aUpdate, Instant aAsOf);
   void onUpstreamsChanged(const std::vector<serving::DirectoryChange>& aChanges);
   void onUpstreamReadStarted();
+  void onConfigReadConfirmed(Instant aStarted);
   void readNewerConfig(std::uint64_t aVersion);
   void onLeadershipChanged(bool aLeads);
   Duration ownUpstreamReadPause() const;
@@ -121,9 +126,12 @@
   std::unique_ptr<StatusServer> mReadinessServer;
   std::unique_ptr<StatusServer> mMetricsServer;
   std::unique_ptr<TableFollower> mConfigFollower;
+  serving::ConfigConfirmation mConfirmation;
+  std::unique_ptr<ConfirmationTask> mConfirmationTask;
   std::unique_ptr<TableFollower> mUpstreamFollower;
   std::unique_ptr<LeaderTask> mLeader;
   std::uint64_t mConfigVersion = 0;
+  std::uint64_t mUnusableConfigRow = 0;    // version of the latest one that was logged
   std::optional<Instant> mNewerConfigRead; // for a version that the leader reported
   serving::UpstreamListChanges mUpstreamListChanges;
   bool mLeading = false;
@@ -153,6 +161,9 @@
   handlers.onConfigVersionReceived = [this](std::uint64_t aVersion) {
     readNewerConfig(aVersion);
   };
+  handlers.onConfigConfirmed = [this](std::uint64_t aVersion, Instant aAsOf) {
+    mConfirmationTask->confirmedByLeader(aVersion, aAsOf);
+  };
   handlers.onUpstreamListReceived = [this](const serving::UpstreamListUpdate& aUpdate,
                                            Instant aAsOf) {
     applyListUpdate(aUpdate, aAsOf);
@@ -243,7 +254,13 @@
     mDependencies.log,
     mDependencies.metrics,
     config,
-    TableFollower::Handlers{ config_read, config_read, {} });
+    TableFollower::Handlers{
+      config_read,
+      config_read,
+      [this] { mLeader->onConfigReadStarted(); },
+      [this](Instant aStarted) { onConfigReadConfirmed(aStarted); } });
+  mConfirmationTask = std::make_unique<ConfirmationTask>(ConfirmationTask::Dependencies{
+    mDependencies.loop, mDependencies.metrics, *mConfigFollower, mConfirmation });
   TableFollower::Options upstreams;
   upstreams.table = mDependencies.recordFormat.upstreamTable();
   upstreams.pause = ownUpstreamReadPause();
@@ -256,7 +273,8 @@
     TableFollower::Handlers{
       [this](const RowSet& aRows) { applyUpstreamRows(aRows, true); },
       [this](const RowSet& aRows) { applyUpstreamRows(aRows, false); },
-      [this] { onUpstreamReadStarted(); } });
+      [this] { onUpstreamReadStarted(); },
+      {} });
   // A long-polling read that has hung since an outage would delay changes by its whole
   // wait.
   mUpstreamFollower->setRecoveryCallback([this] { mConfigFollower->readNow(); });
@@ -273,11 +291,10 @@
     }
     auto config = mDependencies.recordFormat.readConfig(row.value);
     if (!config) {
-      mDependencies.log.write(
-        kConfigUnusable,
-        { { "row_version", row.version }, { "reason", config.error().message } });
+      recordUnusableConfig(row, config.error());
       continue;
     }
+    mConfirmationTask->setNewestUsable(true);
     if (config.value().version <= mConfigVersion) {
       continue; // versions only increase
     }
@@ -296,10 +313,30 @@
     const auto table = serving::RouteTable::create(std::move(config.value()));
     mScheduler.setRoutes(table);
     mLeader->setConfig(table->config());
+    mConfirmation.configApplied(mConfigVersion);
+    mConfirmationTask->configApplied(table->config());
     logReadiness();
   }
 }
 
+void
+GatewayImpl::recordUnusableConfig(const StoredRow& aRow, const Error& aError)
+{
+  mConfirmationTask->setNewestUsable(false);
+  if (aRow.version != std::exchange(mUnusableConfigRow, aRow.version)) {
+    mDependencies.log.write(
+      kConfigUnusable, { { "row_version", aRow.version }, { "reason", aError.message } });
+  }
+}
+
+void
+GatewayImpl::onConfigReadConfirmed(Instant aStarted)
+{
+  if (mConfirmationTask->readSucceeded(mConfigVersion, aStarted)) {
+    mLeader->confirmConfig(mConfigVersion);
+  }
+}
+
 std::optional<serving::UpstreamEntry>
 GatewayImpl::decodeUpstream(const StoredRow& aRow)
 {
@@ -335,6 +372,9 @@
   if (aLeads) {
     // The known list may come from another leader, without the models that engines hold.
     mUpstreamFollower->readNow();
+  }
+  mConfirmationTask->setLeading(aLeads);
+  if (aLeads && !mConfirmationTask->active()) {
     // No other host tells the leader of newer versions, so it cannot wait for as long as
     // in its read as a follower, which may hang.
     mConfigFollower->setWait(kConfigWait);
@@ -349,6 +389,9 @@
     mLeader->onUpstreamListReadStarted();
     return;
   }
+  if (mConfirmationTask->active()) {
+    return; // the leader's confirmations show whether the configuration is read
+  }
   // The leader has sent no list for a while, so its status cannot show that the
   // configuration read hangs.
   mConfigFollower->setWait(kConfigWait);
@@ -413,7 +456,9 @@
   mSelector.directory().readSucceeded(now);
   mUpstreamFollower->confirm(aUpdate.version, aAsOf);
   mDependencies.metrics.add("savoryrill_gateway_list_told_total");
-  mConfigFollower->setWait(kConfigWaitWithLeader);
+  if (!mConfirmationTask->active()) {
+    mConfigFollower->setWait(kConfigWaitWithLeader);
+  }
   if (!changes.empty()) {
     onUpstreamsChanged(changes);
   }
@@ -494,6 +539,7 @@
   std::vector<serving::DirectoryChange> changes;
   mSelector.directory().expire(mDependencies.loop.now(), changes);
   applyChanges(changes);
+  mConfirmationTask->tick();
   sendWaiting();
   if (mDrainStarted) {
     continueDrain();
--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -18,9 +18,6 @@
 // The status is sent after each read of the upstream list, and after this time without
 // one. Replica views are sent when they change.
 constexpr Duration kStatusPeriod = 600ms;
-// Demand reports whose send times are kept, to match them with the leader's updates: some
-// seconds of reports.
-constexpr std::size_t kMaxReportTimes = 64;
 // Hosts to which each host connects while there is no leader. With three random ones,
 // news that is passed on reaches all hosts even if some are away.
 constexpr std::size_t kSubstitutes = 3;
@@ -68,6 +65,8 @@
       receivePromptEvidence(aPeer, entry.payload());
     } else if (entry.kind() == peer::ENTRY_KIND_PERMIT) {
       receivePermits(aPeer, entry.payload());
+    } else if (entry.kind() == peer::ENTRY_KIND_CONFIRMATION && !mLeading) {
+      receiveConfirmation(aPeer, entry.payload());
     }
   }
   if (!mLeading && mKnownLeader == aPeer.host) {
@@ -253,15 +252,11 @@
     applyDemand(mSettings.host, demand);
     return;
   }
-  demand.reportNumber = ++mLastReportNumber;
+  demand.reportNumber = mReportTimes.add(*mLastDemandReport);
   demand.listVersion = mHandlers.listVersion();
   if (mSuitedToLead) {
     demand.uptime = *mLastDemandReport - mStarted;
   }
-  mReportTimes[mLastReportNumber] = *mLastDemandReport;
-  if (mReportTimes.size() > kMaxReportTimes) {
-    mReportTimes.erase(mReportTimes.begin());
-  }
   peer::Delta delta;
   auto* entry = delta.add_entries();
   entry->set_kind(peer::ENTRY_KIND_DEMAND);
@@ -325,10 +320,11 @@
   std::vector<std::string> substitutes;
   const bool from_leader = std::ranges::any_of(aDelta.entries(), [](const auto& aEntry) {
     return aEntry.kind() != peer::ENTRY_KIND_PROMPT &&
-           aEntry.kind() != peer::ENTRY_KIND_PERMIT;
+           aEntry.kind() != peer::ENTRY_KIND_PERMIT &&
+           aEntry.kind() != peer::ENTRY_KIND_CONFIRMATION;
   });
   if (!from_leader) {
-    return; // sent by hosts that do not lead, too
+    return; // sent by hosts that do not lead, too, or by a leader without any views yet
   }
   mDependencies.selector.recordLeaderUpdate(now);
   for (const auto& entry : aDelta.entries()) {
@@ -408,9 +404,8 @@
 {
   // The leader had received this host's report with that number when it began to read the
   // list, so the update is at least as recent as the report, whatever the delays were.
-  const auto sent = mReportTimes.find(aUpdate.reportNumber);
-  if (sent != mReportTimes.end()) {
-    mHandlers.onUpstreamListReceived(aUpdate.update, sent->second);
+  if (const auto sent = mReportTimes.sentAt(aUpdate.reportNumber)) {
+    mHandlers.onUpstreamListReceived(aUpdate.update, *sent);
   }
 }
 
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -22,6 +22,7 @@
 #include "serving/leadership.h"
 #include "serving/placementplanner.h"
 #include "serving/promptquarantine.h"
+#include "serving/reporttimes.h"
 #include "serving/sharinghosts.h"
 #include "serving/upstreamlistchanges.h"
 #include "transport/peernetwork.h"
@@ -66,6 +67,9 @@
     /// the given time or later.
     std::function<void(const serving::UpstreamListUpdate&, Instant)>
       onUpstreamListReceived;
+    /// The leader has read the given version of the configuration; its read began at the
+    /// given time or later.
+    std::function<void(std::uint64_t, Instant)> onConfigConfirmed;
     /// This host has become the leader (true) or has stopped being it (false).
     std::function<void(bool)> onLeadershipChanged;
     /// This host has been without a connection to a leader for a while (false), or has
@@ -96,6 +100,11 @@
   void onUpstreamListReadStarted();
   /// The upstream list was read; entries may have newer engine reports.
   void onUpstreamListRead();
+  /// A read of the configuration begins; as `onUpstreamListReadStarted`.
+  void onConfigReadStarted();
+  /// That read has succeeded and returned this version; tells the other hosts, if this
+  /// host leads.
+  void confirmConfig(std::uint64_t aVersion);
   /// A request waits for a permit; asks for it in the next iteration of the loop.
   void onPermitRequested();
   /// There is new demand; reports it in the next iteration of the loop.
@@ -175,6 +184,8 @@
   /// version is recent enough.
   void addListUpdate(peer::Delta& aDelta, std::uint64_t aPeerId);
   void applyListUpdate(const HostListUpdate& aUpdate);
+  void receiveConfirmation(const transport::RemotePeer& aPeer,
+                           const std::string& aPayload);
   LeaderStatus makeStatus();
   void addStatus(peer::Delta& aDelta, const LeaderStatus& aStatus);
   /// Fills in the expected times of the models that requests wait for.
@@ -203,6 +214,7 @@
     // progress and the last successful one began.
     std::uint64_t reportAtReadStart = 0;
     std::uint64_t reportBeforeLastRead = 0;
+    std::uint64_t reportAtConfigReadStart = 0; // as above, for the configuration
     std::optional<Instant> startedAt; // of its process; nothing if it should not lead
     bool needsAllViews = true;        // after it connected or a message to it was lost
   };
@@ -229,9 +241,8 @@
   event::DeferredCall mPermitExchangeCall;
   bool mLeaseRequestFailed = false; // the latest one; logged once per outage
   std::uint64_t mSequence = 0;
-  std::uint64_t mLastReportNumber = 0;           // of the demand reports of this host
-  std::map<std::uint64_t, Instant> mReportTimes; // when recent reports were sent
-  std::uint32_t mHostCount = 0;                  // that exchange demand at this moment
+  serving::ReportTimes mReportTimes; // of the demand reports of this host
+  std::uint32_t mHostCount = 0;      // that exchange demand at this moment
   serving::SharingHosts mSharingHosts;
   std::optional<Instant> mLastDemandReport;
   std::optional<Instant> mLastStatus;
--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -52,14 +52,18 @@
     mNeedsAllRows = false;
     mKnownAsOf = mReadStarted;
     mHandlers.onAllRows(aRows.value());
-    scheduleRead();
+    if (mHandlers.onConfirmed && !mReading) {
+      readAfter(kMinReadPause); // only reads of changes confirm
+    } else {
+      scheduleRead();
+    }
   });
 }
 
 void
 TableFollower::readChanges()
 {
-  if (mOptions.wait > Duration::zero()) {
+  if (mOptions.wait > Duration::zero() && mOptions.retryPeriod == Duration::zero()) {
     mHangTimer = mLoop.after(mOptions.wait + kHangMargin, [this] {
       recordFailure({ ErrorCode::OutcomeUnknown, "no response to a waiting read" });
       read();
@@ -86,13 +90,33 @@
                          return;
                        }
                        recordSuccess();
-                       mVersion = std::max(*mVersion, aRows.value().version);
+                       const auto known = *mVersion;
+                       mVersion = std::max(known, aRows.value().version);
                        mKnownAsOf = mReadStarted;
                        mHandlers.onChanges(aRows.value());
+                       confirmRead(aRows.value(), known);
                        scheduleRead();
                      });
 }
 
+/// Only a read of changes confirms, since the store may answer a read of all rows with a
+/// state that is seconds old, and only if no response has shown a newer version before.
+/// A response that belongs to an earlier request states an older version, too.
+void
+TableFollower::confirmRead(const RowSet& aChanges, std::uint64_t aKnown)
+{
+  // Without a change, a higher version comes from other tables. As long as this was not
+  // seen, responses may state the version of the table alone, to which versions of other
+  // tables do not compare.
+  if (aChanges.rows.empty() && aChanges.version > aKnown) {
+    mVersionsCoverStore = true;
+  }
+  const auto newest = mVersionsCoverStore ? std::max(aKnown, mNewestAtStart) : aKnown;
+  if (mHandlers.onConfirmed && !mReading && aChanges.version >= newest) {
+    mHandlers.onConfirmed(mReadStarted);
+  }
+}
+
 void
 TableFollower::readAfter(Duration aPause)
 {
@@ -117,13 +141,15 @@
 {
   mTimer.reset();
   mHangTimer.reset();
-  if (mReading && mOptions.wait > Duration::zero()) {
+  if (mReading && mReadWaits) {
     // The result of the replaced read is ignored. It would take up a connection until its
     // timeout, and no further read could begin once all are taken.
     mStore.cancelWaitingReads(mOptions.table);
   }
   mReading = true;
+  mReadWaits = mOptions.wait > Duration::zero();
   mReadStarted = mLoop.now();
+  mNewestAtStart = mStore.newestVersion();
   ++mReadId;
   if (mHandlers.onReadStarted) {
     mHandlers.onReadStarted();
@@ -141,6 +167,21 @@
   read();
 }
 
+void
+TableFollower::readAllNow()
+{
+  mNeedsAllRows = true;
+  read();
+}
+
+void
+TableFollower::setTiming(Duration aWait, Duration aPause, Duration aRetryPeriod)
+{
+  mOptions.wait = aWait;
+  mOptions.pause = aPause;
+  mOptions.retryPeriod = aRetryPeriod;
+}
+
 void
 TableFollower::setPause(Duration aPause)
 {
@@ -172,7 +213,10 @@
   mFailurePause = mFailurePause == Duration::zero()
                     ? mOptions.failurePause
                     : std::min(2 * mFailurePause, mOptions.maxFailurePause);
-  readAfter(mFailurePause);
+  const Duration until_period = mReadStarted + mOptions.retryPeriod - mLoop.now();
+  readAfter(mOptions.retryPeriod == Duration::zero()
+              ? mFailurePause
+              : std::clamp(until_period, mOptions.failurePause, mFailurePause));
 }
 
 void
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -36,12 +36,20 @@
     /// Pause after a failed read; doubles with each further failure, up to the maximum.
     Duration failurePause = 300ms;
     Duration maxFailurePause = 1200ms;
+    /// If not zero, a failed read is repeated this long after its start, or after
+    /// `failurePause` if that is later, even if the pause would be longer. Reads with a
+    /// short `wait` then fail by the timeout of the store client, not by `kHangMargin`:
+    /// a slow store still confirms the known state.
+    Duration retryPeriod = Duration::zero();
   };
   struct Handlers
   {
     std::function<void(const RowSet&)> onAllRows;
     std::function<void(const RowSet&)> onChanges;
     std::function<void()> onReadStarted; // runs before each read; may be empty
+    /// Runs after `onChanges` if the read has shown that the known state is the newest
+    /// one of the table; receives the start of the read. May be empty.
+    std::function<void(Instant)> onConfirmed;
   };
 
   TableFollower(event::Loop& aLoop,
@@ -57,6 +65,8 @@
   void setPause(Duration aPause);
   /// Changes `Options::wait` for later reads.
   void setWait(Duration aWait) { mOptions.wait = aWait; }
+  /// Changes the options of that name for later reads; reschedules no read.
+  void setTiming(Duration aWait, Duration aPause, Duration aRetryPeriod);
 
   /// Start of the latest read.
   Instant readStarted() const { return mReadStarted; }
@@ -73,6 +83,9 @@
   /// of the store that has ended.
   void readNow();
 
+  /// As `readNow`, but reads all rows.
+  void readAllNow();
+
   /// Sets a callback that runs when a read succeeds after a failed one.
   void setRecoveryCallback(std::function<void()> aCallback)
   {
@@ -85,6 +98,7 @@
   void readAfter(Duration aPause);
   void scheduleRead();
   void read();
+  void confirmRead(const RowSet& aChanges, std::uint64_t aKnown);
   void recordSuccess();
   void recordFailure(const Error& aError);
   void scheduleRetry();
@@ -98,6 +112,9 @@
   std::optional<std::uint64_t> mVersion;
   bool mNeedsAllRows = true;
   bool mReading = false;
+  bool mReadWaits = false;          // the read in progress may wait for a change
+  std::uint64_t mNewestAtStart = 0; // version known to the store client
+  bool mVersionsCoverStore = false; // of the store's responses, not only of the table
   Instant mReadStarted{};
   std::optional<Instant> mKnownAsOf; // the known state is this recent or newer
   std::uint64_t mReadId = 0;         // of the latest read; results of others are ignored
--- a/src/gateway/irowstore.h
+++ b/src/gateway/irowstore.h
@@ -41,6 +41,10 @@
 
   virtual ~IRowStore() = default;
 
+  /// Highest version in any response of the store so far; 0 if none was received or the
+  /// store object does not record it.
+  virtual std::uint64_t newestVersion() const { return 0; }
+
   /// Reads all rows of a table, page by page. The version is that of the first page; rows
   /// of later pages may be newer.
   virtual void readTable(const std::string& aTable, Completion<RowSet> aDone) = 0;
--- a/src/gateway/tests/codectest.cpp
+++ b/src/gateway/tests/codectest.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "gateway/internal/confirmationcodec.h"
 #include "gateway/internal/leaderrowcodec.h"
 #include "gateway/internal/peercodec.h"
 #include "gateway/internal/refusal.h"
@@ -79,6 +80,18 @@
   CHECK_FALSE(decodeListUpdate(encodeListUpdate(list_update)).has_value());
 }
 
+TEST(GatewayCodec, Confirmation_SurvivesEncodingAndMalformedOneFails)
+{
+  const HostConfirmation confirmation{ 281'474'976'710'656, 12 };
+  const auto decoded = decodeConfirmation(encodeConfirmation(confirmation)).value();
+  CHECK_TRUE(decoded.reportNumber == confirmation.reportNumber);
+  LONGS_EQUAL(12, decoded.configVersion);
+  CHECK_FALSE(decodeConfirmation("\xff\xff").has_value());
+  CHECK_FALSE(decodeConfirmation("").has_value());
+  CHECK_FALSE(decodeConfirmation(encodeConfirmation({ 0, 12 })).has_value());
+  CHECK_FALSE(decodeConfirmation(encodeConfirmation({ 3, 0 })).has_value());
+}
+
 TEST(GatewayCodec, ReplicasAndLeaderStatus_SurviveEncoding)
 {
   const std::vector<serving::ReplicaView> replicas{
--- a/src/serving/configconfirmation.h
+++ b/src/serving/configconfirmation.h
@@ -23,10 +23,14 @@
   /// A configuration has come into force at this host.
   void configApplied(std::uint64_t aVersion);
 
-  /// `aVersion` was the store's newest at `aAsOf` or later. Has no effect if this host
-  /// has an older version in force, or if a more recent confirmation is known.
+  /// This host has read the store: `aVersion` was the store's newest at `aAsOf` or later.
+  /// Has no effect if this host has an older version in force, or if a more recent
+  /// confirmation is known.
   void confirmed(std::uint64_t aVersion, Instant aAsOf);
 
+  /// As `confirmed`, but another host has read the store.
+  void confirmedByLeader(std::uint64_t aVersion, Instant aAsOf);
+
   /// True if requests with keys may be accepted.
   bool valid(Instant aNow) const;
 
@@ -43,6 +47,7 @@
   Duration mMaxAge;
   std::uint64_t mVersion = 0; // in force; 0: none
   std::optional<Instant> mAsOf;
+  std::optional<Instant> mLeaderAsOf; // of the latest confirmation by another host
 };
 
 } // namespace savoryrill::serving
--- a/src/serving/internal/configconfirmation.cpp
+++ b/src/serving/internal/configconfirmation.cpp
@@ -29,6 +29,15 @@
   }
 }
 
+void
+ConfigConfirmation::confirmedByLeader(std::uint64_t aVersion, Instant aAsOf)
+{
+  confirmed(aVersion, aAsOf);
+  if (mVersion != 0 && aVersion <= mVersion) {
+    mLeaderAsOf = mLeaderAsOf ? std::max(*mLeaderAsOf, aAsOf) : aAsOf;
+  }
+}
+
 bool
 ConfigConfirmation::valid(Instant aNow) const
 {
@@ -47,7 +56,7 @@
 bool
 ConfigConfirmation::wantsOwnRead(Instant aNow) const
 {
-  return bounded() && (!mAsOf || aNow - *mAsOf >= kOwnReadAfter);
+  return bounded() && (!mLeaderAsOf || aNow - *mLeaderAsOf >= kOwnReadAfter);
 }
 
 } // namespace savoryrill::serving
