Exchange grants of quotas between hosts

Cause: the classes of quotas have no connection to the other hosts. Change: QuotaExchange implements IQuotas for one host; GatewayImpl owns it (mQuotas), so that it outlives the requests that hold its handles, and passes it the quotas of each configuration in force. LeaderTask connects it to the other hosts with entries of the kind ENTRY_KIND_QUOTA. The part of the rates that a host may issue is a class of its own (QuotaShare): SharingHosts forgets hosts that are cut off after 30 s, although these go on using a part of the quotas. Requests do not ask for quotas yet.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -6,6 +6,7 @@
 #include "base/types/baseevents.h"
 #include "gateway/internal/leadertask.h"
 #include "gateway/internal/quarantinetask.h"
+#include "gateway/internal/quotaexchange.h"
 #include "gateway/internal/requestscheduler.h"
 #include "gateway/internal/statusserver.h"
 #include "gateway/internal/tablefollower.h"
@@ -57,6 +58,9 @@
                     mDependencies.metrics,
                     mDependencies.store },
                   mDependencies.seed)
+    , mQuotas({ mDependencies.loop, mDependencies.log, mDependencies.metrics },
+              mSettings.host,
+              mDependencies.seed)
     , mScheduler({ mDependencies.loop,
                    mDependencies.log,
                    mDependencies.metrics,
@@ -116,6 +120,7 @@
   link::OutboundPool mPool;
   link::RequestClient mControlClient;
   QuarantineTask mQuarantine;
+  QuotaExchange mQuotas; // requests hold handles of it
   RequestScheduler mScheduler;
   std::unique_ptr<link::Listener> mCallerListener;
   std::unique_ptr<StatusServer> mReadinessServer;
@@ -173,7 +178,8 @@
                                          mDependencies.controlProtocol,
                                          mSelector,
                                          mUpstreamListChanges,
-                                         mControlClient },
+                                         mControlClient,
+                                         mQuotas },
                                        mSettings,
                                        std::move(handlers),
                                        mDependencies.seed));
@@ -292,6 +298,9 @@
     const auto table = serving::RouteTable::create(std::move(config.value()));
     mScheduler.setRoutes(table);
     mLeader->setConfig(table->config());
+    const auto& organisations = table->config().organisations;
+    mQuotas.setQuotas(organisations ? organisations->organisations()
+                                    : std::map<std::string, serving::Organisation>{});
     logReadiness();
   }
 }
--- a/src/gateway/internal/leaderexchange.cpp
+++ b/src/gateway/internal/leaderexchange.cpp
@@ -44,6 +44,7 @@
   } else if (aPeer.outgoing) {
     reportDemand();
   }
+  mDependencies.quotas.exchange();
 }
 
 void
@@ -51,6 +52,7 @@
 {
   mPeerHosts.erase(aPeer.id);
   setHostLoads(aPeer.host, {});
+  mDependencies.quotas.exchange();
 }
 
 void
@@ -68,6 +70,8 @@
       receivePromptEvidence(aPeer, entry.payload());
     } else if (entry.kind() == peer::ENTRY_KIND_PERMIT) {
       receivePermits(aPeer, entry.payload());
+    } else if (entry.kind() == peer::ENTRY_KIND_QUOTA) {
+      receiveQuotas(aPeer, entry.payload());
     }
   }
   if (!mLeading && mKnownLeader == aPeer.host) {
@@ -168,6 +172,7 @@
 {
   mHostCount = aCount;
   mSharingHosts.record(aCount, mDependencies.loop.now());
+  mQuotaShare.record(aCount, false, mDependencies.loop.now());
 }
 
 void
@@ -325,7 +330,8 @@
   std::vector<std::string> substitutes;
   const bool from_leader = std::ranges::any_of(aDelta.entries(), [](const auto& aEntry) {
     return aEntry.kind() != peer::ENTRY_KIND_PROMPT &&
-           aEntry.kind() != peer::ENTRY_KIND_PERMIT;
+           aEntry.kind() != peer::ENTRY_KIND_PERMIT &&
+           aEntry.kind() != peer::ENTRY_KIND_QUOTA;
   });
   if (!from_leader) {
     return; // sent by hosts that do not lead, too
@@ -363,6 +369,7 @@
           continue;
         }
         mLeadership.leaderUpdateReceived(status.value().rowVersion, now);
+        mQuotaShare.record(status.value().hostCount, true, now);
         applyStatus(status.value(), now);
       } else {
         recordBadEntry(aPeer, status.error());
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -94,6 +94,7 @@
                                                    aDependencies.metrics,
                                                    *task));
   task->mPeers = std::move(peers);
+  task->connectQuotas();
   task->mTimer =
     aDependencies.loop.every(kTickPeriod, [raw = task.get()] { raw->tick(); });
   return task;
@@ -126,7 +127,10 @@
 {
 }
 
-LeaderTask::~LeaderTask() = default;
+LeaderTask::~LeaderTask()
+{
+  mDependencies.quotas.setPeers({});
+}
 
 void
 LeaderTask::setConfig(const serving::ServingConfig& aConfig)
@@ -223,6 +227,7 @@
   updateLeaderContact();
   updateSubstitutes();
   exchangePermits();
+  mDependencies.quotas.exchange();
   const auto now = mDependencies.loop.now();
   if (!mLastDemandReport || now - *mLastDemandReport >= kDemandPeriod) {
     reportDemand();
@@ -337,6 +342,7 @@
     return;
   }
   mLeading = leads;
+  mQuotaShare.setLeading(leads, now);
   mHandingOver = false;
   mListRead = false;
   mPublished.clear();
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -15,6 +15,7 @@
 #include "event/loop.h"
 #include "gateway/internal/peercodec.h"
 #include "gateway/internal/permitexchange.h"
+#include "gateway/internal/quotaexchange.h"
 #include "gateway/iprotocol.h"
 #include "gateway/irowstore.h"
 #include "gateway/upstreamselector.h"
@@ -22,6 +23,7 @@
 #include "serving/leadership.h"
 #include "serving/placementplanner.h"
 #include "serving/promptquarantine.h"
+#include "serving/quotashare.h"
 #include "serving/sharinghosts.h"
 #include "serving/upstreamlistchanges.h"
 #include "transport/peernetwork.h"
@@ -46,6 +48,7 @@
     const serving::UpstreamListChanges&
       listChanges; // of the upstream list, as read by this host
     link::RequestClient& client;
+    QuotaExchange& quotas; // of this host
   };
   struct Handlers
   {
@@ -144,6 +147,11 @@
   void setHostCount(std::uint32_t aCount);
   void receivePermits(const transport::RemotePeer& aPeer, const std::string& aPayload);
   void sendPermits(const std::string& aHost, const PermitMessage& aMessage);
+  /// Lets the quotas of this host use the connections to other hosts.
+  void connectQuotas();
+  QuotaExchange::Role quotaRole();
+  void receiveQuotas(const transport::RemotePeer& aPeer, const std::string& aPayload);
+  void sendQuotas(const std::string& aHost, const QuotaMessage& aMessage);
 
   void reportDemand();
   void receiveDemand(const transport::RemotePeer& aPeer, const HostDemand& aDemand);
@@ -233,6 +241,7 @@
   std::map<std::uint64_t, Instant> mReportTimes; // when recent reports were sent
   std::uint32_t mHostCount = 0;                  // that exchange demand at this moment
   serving::SharingHosts mSharingHosts;
+  serving::QuotaShare mQuotaShare;
   std::optional<Instant> mLastDemandReport;
   std::optional<Instant> mLastStatus;
   std::optional<Instant> mLastViews;
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -167,5 +167,13 @@
   "upstream-pause",
   "An upstream refused a request and wants no other one from this host for `pause_ms`."
 };
+inline constexpr EventDefinition kQuotaIssuer{
+  4140,
+  Severity::Info,
+  "quota-issuer",
+  "This host gets its part of the quotas of organisations from `issuer`; empty: it uses "
+  "a "
+  "share of its own."
+};
 
 } // namespace savoryrill::gateway
--- a/src/serving/internal/quotaledger.cpp
+++ b/src/serving/internal/quotaledger.cpp
@@ -45,7 +45,7 @@
       continue;
     }
     for (const auto& waiting : account->second.waiting) {
-      decide(waiting, Admitted{ 0, aNow }); // there is no limit any more
+      decide(account->first, waiting, Admitted{ 0, aNow }); // there is no limit any more
     }
     mToRequest.erase(account->first);
     account = mAccounts.erase(account);
@@ -280,11 +280,18 @@
 }
 
 void
-QuotaLedger::withdraw(std::uint64_t aId)
+QuotaLedger::withdraw(std::uint64_t aId, Instant aNow)
 {
   const auto found = mWaiting.find(aId);
   if (found == mWaiting.end()) {
-    std::erase_if(mDecisions, [&](const Decision& aItem) { return aItem.id == aId; });
+    const auto decided = std::ranges::find(mDecisions, aId, &Decision::id);
+    if (decided != mDecisions.end()) {
+      const auto decision = *decided;
+      mDecisions.erase(decided);
+      if (const auto* charge = std::get_if<Admitted>(&decision.outcome)) {
+        refund(decision.organisation, *charge, aNow);
+      }
+    }
     return;
   }
   auto& waiting = mAccounts.at(found->second).waiting;
@@ -314,11 +321,11 @@
 }
 
 void
-QuotaLedger::decide(Waiting aWaiting, Outcome aOutcome)
+QuotaLedger::decide(const std::string& aOrganisation, Waiting aWaiting, Outcome aOutcome)
 {
   mDeadlines.erase({ aWaiting.until, aWaiting.id });
   mWaiting.erase(aWaiting.id);
-  mDecisions.push_back({ aWaiting.id, std::move(aOutcome) });
+  mDecisions.push_back({ aWaiting.id, aOrganisation, std::move(aOutcome) });
 }
 
 std::vector<QuotaLedger::Decision>
@@ -372,9 +379,9 @@
     const auto waiting = *item;
     account.waiting.erase(item);
     if (const auto charge = spendOwn(organisation, account, waiting.cost, aNow)) {
-      decide(waiting, *charge);
+      decide(organisation, waiting, *charge);
     } else {
-      decide(waiting, QuotaDenial{ organisation, ownRoomIn(account), 0 });
+      decide(organisation, waiting, QuotaDenial{ organisation, ownRoomIn(account), 0 });
     }
   }
 }
@@ -456,7 +463,7 @@
     recordUse(aAccount, waiting.front().cost, aNow);
     const auto item = waiting.front();
     waiting.pop_front();
-    decide(item, *charge);
+    decide(aOrganisation, item, *charge);
   }
   if (!waiting.empty() && !aAccount.requested) {
     mToRequest.insert(aOrganisation);
@@ -509,7 +516,9 @@
   std::deque<Waiting> smaller;
   for (const auto& item : std::exchange(waiting, {})) {
     if (item.cost >= cost) {
-      decide(item, QuotaDenial{ aDenial.organisation, aDenial.roomIn, 0 });
+      decide(aDenial.organisation,
+             item,
+             QuotaDenial{ aDenial.organisation, aDenial.roomIn, 0 });
     } else {
       smaller.push_back(item);
     }
--- a/src/serving/quotaledger.h
+++ b/src/serving/quotaledger.h
@@ -76,7 +76,7 @@
                Instant aUntil,
                Instant aNow);
   /// A waiting request needs no outcome any more.
-  void withdraw(std::uint64_t aId);
+  void withdraw(std::uint64_t aId, Instant aNow);
   /// A charged request has not run and never will. Without effect after the end of the
   /// grant that it was charged to.
   void refund(const std::string& aOrganisation, const Admitted& aCharge, Instant aNow);
@@ -84,14 +84,15 @@
   struct Decision
   {
     std::uint64_t id;
+    std::string organisation;
     Outcome outcome;
   };
+  bool hasDecisions() const { return !mDecisions.empty(); }
   /// Outcomes of waiting requests since the last call.
   std::vector<Decision> takeDecisions();
   /// Decides the requests that have waited for long enough, and drops ended grants.
   void expire(Instant aNow);
-  /// When to call `expire` for the next waiting request, or `takeRequests` for the next
-  /// repeated one; nullopt: nothing waits.
+  /// When to call `expire` for the next waiting request; nullopt: none waits.
   std::optional<Instant> nextDue() const;
 
   bool wantsToSend() const { return !mToRequest.empty() || !mUnused.empty(); }
@@ -159,7 +160,7 @@
   static double aheadOf(const Account& aAccount, Instant aNow);
   void requestAgain(const std::string& aOrganisation, Account& aAccount);
   void serveWaiting(const std::string& aOrganisation, Account& aAccount, Instant aNow);
-  void decide(Waiting aWaiting, Outcome aOutcome);
+  void decide(const std::string& aOrganisation, Waiting aWaiting, Outcome aOutcome);
   void dropEnded(const std::string& aOrganisation, Account& aAccount, Instant aNow);
 
   double mPhase;
--- a/src/serving/tests/quotatest.cpp
+++ b/src/serving/tests/quotatest.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/quotaissuer.h"
 #include "serving/quotaledger.h"
+#include "serving/quotashare.h"
 
 using namespace savoryrill;
 using serving::Quota;
@@ -325,3 +326,45 @@
   CHECK_TRUE(admits(1e9));
   CHECK_FALSE(ledger.hasQuotas());
 }
+
+TEST_GROUP(QuotaShare)
+{
+  serving::QuotaShare share;
+  Instant now = kStart;
+};
+
+// Guards against a whole rate that is issued before the other hosts have connected, while
+// they use a share of their own.
+TEST(QuotaShare, FirstLeader_IssuesWholeRateAfterHostsHaveConnected)
+{
+  share.setLeading(true, now);
+  share.record(2, false, now);
+  DOUBLES_EQUAL(0.02, share.of(2, now), 1e-9);
+  now += 3s;
+  DOUBLES_EQUAL(1, share.of(2, now), 1e-9);
+}
+
+TEST(QuotaShare, LaterLeader_KnowsNumberOfHosts)
+{
+  share.record(80, true, now);
+  share.setLeading(true, now);
+  DOUBLES_EQUAL(0.5, share.of(40, now), 1e-9);
+  DOUBLES_EQUAL(1, share.of(80, now), 1e-9);
+}
+
+// Guards against a sum above the quota while hosts are cut off for long: those use half
+// of their shares, alone or from a former leader.
+TEST(QuotaShare, HostsAreCutOff_SumStaysWithinOne)
+{
+  serving::QuotaShare former;
+  former.record(80, true, now);
+  former.setLeading(true, now);
+  former.setLeading(false, now);
+  share.record(80, true, now);
+  share.setLeading(true, now);
+  for (const Instant end = now + 120s; now < end; now += 1s) {
+    const double cut_off = former.of(28, now);
+    CHECK_TRUE(share.of(52, now) + cut_off <= 1 + 1e-9);
+  }
+  DOUBLES_EQUAL(0.825, share.of(52, now), 1e-9);
+}
