--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -7,6 +7,7 @@
 #include "gateway/internal/confirmationtask.h"
 #include "gateway/internal/leadertask.h"
 #include "gateway/internal/quarantinetask.h"
+#include "gateway/internal/quotaexchange.h"
 #include "gateway/internal/requestscheduler.h"
 #include "gateway/internal/statusserver.h"
 #include "gateway/internal/tablefollower.h"
@@ -61,6 +62,9 @@
                   mDependencies.seed)
     , mOrganisationMetrics(mDependencies.metrics)
     , mConfirmation(mSettings.keyConfirmationTime)
+    , mQuotas({ mDependencies.loop, mDependencies.log, mDependencies.metrics },
+              mSettings.host,
+              mDependencies.seed)
     , mScheduler({ mDependencies.loop,
                    mDependencies.log,
                    mDependencies.metrics,
@@ -73,6 +77,7 @@
                  schedulerOptions(mSettings),
                  mDependencies.seed)
   {
+    mScheduler.setQuotas(&mQuotas);
   }
 
   Result<void> start();
@@ -129,6 +134,7 @@
   QuarantineTask mQuarantine;
   OrganisationMetrics mOrganisationMetrics;
   serving::ConfigConfirmation mConfirmation;
+  QuotaExchange mQuotas; // requests hold handles of it
   RequestScheduler mScheduler;
   std::unique_ptr<link::Listener> mCallerListener;
   std::unique_ptr<StatusServer> mReadinessServer;
@@ -192,7 +198,8 @@
                                          mDependencies.controlProtocol,
                                          mSelector,
                                          mUpstreamListChanges,
-                                         mControlClient },
+                                         mControlClient,
+                                         mQuotas },
                                        mSettings,
                                        std::move(handlers),
                                        mDependencies.seed));
@@ -319,6 +326,9 @@
                               { { "version", mConfigVersion }, { "finding", finding } });
     }
     const auto table = serving::RouteTable::create(std::move(config.value()));
+    const auto& organisations = table->config().organisations;
+    mQuotas.setQuotas(organisations ? organisations->organisations()
+                                    : std::map<std::string, serving::Organisation>{});
     mScheduler.setRoutes(table);
     mLeader->setConfig(table->config());
     mConfirmation.configApplied(mConfigVersion);
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -94,6 +94,7 @@
                                                    aDependencies.metrics,
                                                    *task));
   task->mPeers = std::move(peers);
+  task->connectQuotas();
   task->mTimer =
     aDependencies.loop.every(kTickPeriod, [raw = task.get()] { raw->tick(); });
   return task;
@@ -127,7 +128,10 @@
 {
 }
 
-LeaderTask::~LeaderTask() = default;
+LeaderTask::~LeaderTask()
+{
+  mDependencies.quotas.setPeers({});
+}
 
 void
 LeaderTask::setConfig(const serving::ServingConfig& aConfig)
@@ -224,6 +228,7 @@
   updateLeaderContact();
   updateSubstitutes();
   exchangePermits();
+  mDependencies.quotas.exchange();
   const auto now = mDependencies.loop.now();
   if (!mLastDemandReport || now - *mLastDemandReport >= kDemandPeriod) {
     reportDemand();
@@ -338,6 +343,7 @@
     return;
   }
   mLeading = leads;
+  mQuotaShare.setLeading(leads, now);
   mHandingOver = false;
   mListRead = false;
   mPublished.clear();
--- a/src/gateway/internal/leadertask.h
+++ b/src/gateway/internal/leadertask.h
@@ -15,6 +15,7 @@
 #include "event/loop.h"
 #include "gateway/internal/peercodec.h"
 #include "gateway/internal/permitexchange.h"
+#include "gateway/internal/quotaexchange.h"
 #include "gateway/iprotocol.h"
 #include "gateway/irowstore.h"
 #include "gateway/upstreamselector.h"
@@ -22,6 +23,7 @@
 #include "serving/leadership.h"
 #include "serving/placementplanner.h"
 #include "serving/promptquarantine.h"
+#include "serving/quotashare.h"
 #include "serving/reporttimes.h"
 #include "serving/sharinghosts.h"
 #include "serving/upstreamlistchanges.h"
@@ -47,6 +49,7 @@
     const serving::UpstreamListChanges&
       listChanges; // of the upstream list, as read by this host
     link::RequestClient& client;
+    QuotaExchange& quotas; // of this host
   };
   struct Handlers
   {
@@ -153,6 +156,11 @@
   void setHostCount(std::uint32_t aCount);
   void receivePermits(const transport::RemotePeer& aPeer, const std::string& aPayload);
   void sendPermits(const std::string& aHost, const PermitMessage& aMessage);
+  /// Lets the quotas of this host use the connections to other hosts.
+  void connectQuotas();
+  QuotaExchange::Role quotaRole();
+  void receiveQuotas(const transport::RemotePeer& aPeer, const std::string& aPayload);
+  void sendQuotas(const std::string& aHost, const QuotaMessage& aMessage);
 
   void reportDemand();
   void receiveDemand(const transport::RemotePeer& aPeer, const HostDemand& aDemand);
@@ -244,6 +252,7 @@
   serving::ReportTimes mReportTimes; // of the demand reports of this host
   std::uint32_t mHostCount = 0;      // that exchange demand at this moment
   serving::SharingHosts mSharingHosts;
+  serving::QuotaShare mQuotaShare;
   std::optional<Instant> mLastDemandReport;
   std::optional<Instant> mLastStatus;
   std::optional<Instant> mLastViews;
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -167,13 +167,6 @@
   "upstream-pause",
   "An upstream refused a request and wants no other one from this host for `pause_ms`."
 };
-inline constexpr EventDefinition kConfigFinding{
-  4140,
-  Severity::Warning,
-  "config-finding",
-  "A part of the configuration in force is invalid and was left out or changed; see "
-  "`finding`."
-};
 inline constexpr EventDefinition kConfigUnconfirmed{
   4131,
   Severity::Warning,
@@ -187,5 +180,19 @@
   "config-confirmed",
   "The configuration is confirmed again, so requests with keys are accepted."
 };
+inline constexpr EventDefinition kQuotaIssuer{
+  4133,
+  Severity::Info,
+  "quota-issuer",
+  "This host gets its part of the quotas of organisations from `issuer`; empty: it uses "
+  "a share of its own."
+};
+inline constexpr EventDefinition kConfigFinding{
+  4140,
+  Severity::Warning,
+  "config-finding",
+  "A part of the configuration in force is invalid and was left out or changed; see "
+  "`finding`."
+};
 
 } // namespace savoryrill::gateway
