--- a/src/gateway/internal/requeststate.h
+++ b/src/gateway/internal/requeststate.h
@@ -39,5 +39,7 @@
 {
   using Functions::operator()...;
 };
+template<typename... Functions>
+StateVisitor(Functions...) -> StateVisitor<Functions...>;
 
 } // namespace savoryrill::gateway
