--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -100,20 +100,14 @@
 }
 
 /// Only a read of changes confirms, since the store may answer a read of all rows with a
-/// state that is seconds old, and only if no response has shown a newer version before.
-/// A response that belongs to an earlier request states an older version, too.
+/// state that is seconds old.
 void
 TableFollower::confirmRead(const RowSet& aChanges, std::uint64_t aKnown)
 {
-  // Without a change, a higher version comes from other tables. As long as this was not
-  // seen, responses may state the version of the table alone, to which versions of other
-  // tables do not compare.
-  if (aChanges.rows.empty() && aChanges.version > aKnown) {
-    mVersionsCoverStore = true;
-  }
-  const auto newest = mVersionsCoverStore ? std::max(aKnown, mNewestAtStart) : aKnown;
-  if (mHandlers.onConfirmed && !mReading && aChanges.version >= newest) {
-    mHandlers.onConfirmed(mReadStarted);
+  const auto as_of =
+    mReadCheck.changesRead(aKnown, aChanges.version, aChanges.rows.empty());
+  if (mHandlers.onConfirmed && !mReading && as_of) {
+    mHandlers.onConfirmed(*as_of);
   }
 }
 
@@ -149,7 +143,7 @@
   mReading = true;
   mReadWaits = mOptions.wait > Duration::zero();
   mReadStarted = mLoop.now();
-  mNewestAtStart = mStore.newestVersion();
+  mReadCheck.readStarted(mReadStarted, mStore.newestVersion());
   ++mReadId;
   if (mHandlers.onReadStarted) {
     mHandlers.onReadStarted();
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -11,6 +11,7 @@
 #include "event/loop.h"
 #include "gateway/iprotocol.h"
 #include "gateway/irowstore.h"
+#include "serving/tablereadcheck.h"
 #include "serving/upstreamdirectory.h"
 
 namespace savoryrill::gateway {
@@ -112,9 +113,8 @@
   std::optional<std::uint64_t> mVersion;
   bool mNeedsAllRows = true;
   bool mReading = false;
-  bool mReadWaits = false;          // the read in progress may wait for a change
-  std::uint64_t mNewestAtStart = 0; // version known to the store client
-  bool mVersionsCoverStore = false; // of the store's responses, not only of the table
+  bool mReadWaits = false; // the read in progress may wait for a change
+  serving::TableReadCheck mReadCheck;
   Instant mReadStarted{};
   std::optional<Instant> mKnownAsOf; // the known state is this recent or newer
   std::uint64_t mReadId = 0;         // of the latest read; results of others are ignored
