--- a/src/config/gatewaysettings.h
+++ b/src/config/gatewaysettings.h
@@ -24,15 +24,29 @@
   SocketAddress storeAddress;                  // the platform's table
   Severity logLevel = Severity::Info;
   std::uint32_t logBytesPerSecond = 64 * 1024; // lines above it are dropped and counted
-  Duration drainLimit = 8s;    // between SIGTERM and the end of the process
-  Duration leaveNotice = 2s;   // for which an upstream that leaves goes on serving
-  Duration orderTurnTime = 3s; // between orders of two hosts to one engine
-  double retryShare = 0.2;     // repeated sends for each request of an upstream group
-  double retryReserve = 50;    // and this many more in a while, of all hosts together
-  std::uint32_t maxConnections = 1500; // of callers
-  double linkMbps = 0;                 // of this host's network link; 0: not known
+  Duration drainLimit = 8s;       // between SIGTERM and the end of the process
+  Duration leaveNotice = 2s;      // for which an upstream that leaves goes on serving
+  Duration orderTurnTime = 3s;    // between orders of two hosts to one engine
+  double retryShare = 0.2;        // repeated sends for each request of an upstream group
+  double retryReserve = 50;       // and this many more in a while, of all hosts together
+  std::uint32_t hostMemoryMb = 0; // that this process may use; 0: not known
+  std::uint32_t maxDescriptors = 0;      // of this process; 0: not known
+  std::uint32_t connectionMemoryMb = 48; // held for the connections of callers
+  std::uint32_t maxConnections = 1500;   // of callers
+  double linkMbps = 0;                   // of this host's network link; 0: not known
 };
 
+/// Memory for connections on a host with `aHostMemoryMb` for this process: two fifths.
+/// The rest is for the process itself, and for what the allocator cannot reuse at once.
+std::uint32_t
+connectionMemoryOf(std::uint32_t aHostMemoryMb);
+
+/// Connections of callers of a process with `aMaxDescriptors`: three fifths of those that
+/// remain without 200 for files and 360 for the store, 80 other hosts (two each), two
+/// status addresses (64 each) and the loop. Two fifths are left for upstreams.
+std::uint32_t
+maxConnectionsOf(std::uint32_t aMaxDescriptors);
+
 struct CheckedGatewaySettings
 {
   Findings findings;
--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -1,5 +1,6 @@
 #include "config/gatewaysettings.h"
 
+#include <algorithm>
 #include <map>
 
 #include "config/address.h"
@@ -15,6 +16,12 @@
 // Below the least value the list would be read more than 16 times a second.
 constexpr IntegerRange kNoticeMs{ 100, 3'600'000 };
 constexpr IntegerRange kConnections{ 1, 1'000'000 };
+constexpr IntegerRange kHostMemoryMb{ 32, 16'000'000 };
+// Below the least value, one body of 4 MB would not fit beside the reserve.
+constexpr IntegerRange kConnectionMemoryMb{ 8, 16'000'000 };
+constexpr IntegerRange kDescriptors{ 640, 100'000'000 };
+constexpr std::uint32_t kLeastConnectionMemoryMb = 8;
+constexpr std::uint32_t kKeptDescriptors = 560;
 constexpr IntegerRange kLogRate{ 1024, 100'000'000 };
 constexpr Range<double> kShare{ 0.0, 10.0 };
 constexpr Range<double> kReserve{ 0.0, 1'000'000.0 };
@@ -48,13 +55,29 @@
     mRoot.milliseconds("order_turn_ms", mSettings.orderTurnTime, kTimeMs);
     mRoot.real("retry_share", mSettings.retryShare, kShare);
     mRoot.real("retry_reserve", mSettings.retryReserve, kReserve);
-    mRoot.integer("max_connections", mSettings.maxConnections, kConnections);
+    readCapacity();
     mRoot.real("link_mbps", mSettings.linkMbps, kLinkMbps);
     mRoot.finish();
     return std::move(mSettings);
   }
 
 private:
+  /// Sizes that are not stated follow from those of the host, if these are known.
+  void readCapacity()
+  {
+    mRoot.integer("host_memory_mb", mSettings.hostMemoryMb, kHostMemoryMb);
+    mRoot.integer("max_descriptors", mSettings.maxDescriptors, kDescriptors);
+    if (mSettings.hostMemoryMb > 0) {
+      mSettings.connectionMemoryMb = connectionMemoryOf(mSettings.hostMemoryMb);
+    }
+    if (mSettings.maxDescriptors > 0) {
+      mSettings.maxConnections = maxConnectionsOf(mSettings.maxDescriptors);
+    }
+    mRoot.integer(
+      "connection_memory_mb", mSettings.connectionMemoryMb, kConnectionMemoryMb);
+    mRoot.integer("max_connections", mSettings.maxConnections, kConnections);
+  }
+
   bool readAddress(std::string_view aKey,
                    SocketAddress& aTarget,
                    Presence aPresence = Presence::Required)
@@ -82,6 +105,18 @@
 
 } // namespace
 
+std::uint32_t
+connectionMemoryOf(std::uint32_t aHostMemoryMb)
+{
+  return std::max(kLeastConnectionMemoryMb, aHostMemoryMb / 5 * 2);
+}
+
+std::uint32_t
+maxConnectionsOf(std::uint32_t aMaxDescriptors)
+{
+  return (std::max(aMaxDescriptors, kKeptDescriptors + 5) - kKeptDescriptors) / 5 * 3;
+}
+
 CheckedGatewaySettings
 checkGatewaySettings(const std::string& aName, const std::string& aText)
 {
--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -54,6 +54,28 @@
   CHECK_TRUE(config::hasErrors(config::checkGatewaySettings("s", text).findings));
 }
 
+// Guards against budgets that do not fit the smallest hosts: 120 MB and 3,075
+// descriptors.
+TEST(GatewaySettings, SizesOfHost_BudgetsFollowUnlessStated)
+{
+  const auto with = [this](const std::string& aKeys) {
+    auto text = whole;
+    return config::checkGatewaySettings("s", text.insert(text.find('{') + 1, aKeys));
+  };
+  LONGS_EQUAL(48, with("").settings.connectionMemoryMb);
+  LONGS_EQUAL(1500, with("").settings.maxConnections);
+  const auto small = with(R"("host_memory_mb": 120, "max_descriptors": 3075,)");
+  LONGS_EQUAL(0, small.findings.size());
+  LONGS_EQUAL(48, small.settings.connectionMemoryMb);
+  LONGS_EQUAL(1509, small.settings.maxConnections);
+  const auto stated = with(R"("host_memory_mb": 512, "max_descriptors": 3075,
+                              "connection_memory_mb": 16, "max_connections": 128,)");
+  LONGS_EQUAL(16, stated.settings.connectionMemoryMb);
+  LONGS_EQUAL(128, stated.settings.maxConnections);
+  CHECK_TRUE(mentions(with(R"("connection_memory_mb": 7,)"), "connection_memory_mb"));
+  CHECK_TRUE(mentions(with(R"("max_descriptors": 100,)"), "max_descriptors"));
+}
+
 TEST(GatewaySettings, LinkBandwidthAndLeaveNotice_ReadOrReported)
 {
   auto text = whole;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -10,6 +10,7 @@
 #include "gateway/internal/statusserver.h"
 #include "gateway/internal/tablefollower.h"
 #include "gateway/types/gatewayevents.h"
+#include "link/listener.h"
 #include "serving/upstreamlistchanges.h"
 
 namespace savoryrill::gateway {
@@ -42,6 +43,9 @@
 constexpr Duration kBalancerDelay = 2500ms;
 // Time before the drain limit that is left for the last responses.
 constexpr Duration kDrainEndMargin = 500ms;
+// Time between two log lines about memory that had to be given up.
+constexpr Duration kShortageLogPause = 10s;
+constexpr std::size_t kBytesPerMb = 1024UL * 1024;
 
 class GatewayImpl final : public Gateway
 {
@@ -49,6 +53,8 @@
   GatewayImpl(Dependencies aDependencies, config::GatewaySettings aSettings)
     : mDependencies(std::move(aDependencies))
     , mSettings(std::move(aSettings))
+    , mBudget(mSettings.connectionMemoryMb * kBytesPerMb)
+    , mRelieveCall(mDependencies.loop, [this] { relieveMemory(); })
     , mSelector(mSettings.dataCentre, mDependencies.seed)
     , mPool(mDependencies.loop, {})
     , mControlClient(mDependencies.loop, mPool)
@@ -109,9 +115,16 @@
   void tick();
   void continueDrain();
   std::string renderMetrics();
+  void renderConnectionMetrics();
+  /// Ends requests until the memory that is held for connections is within its limit.
+  void relieveMemory();
 
   Dependencies mDependencies;
   config::GatewaySettings mSettings;
+  link::MemoryBudget mBudget;
+  event::DeferredCall mRelieveCall;
+  std::uint64_t mEvictionsLogged = 0;
+  std::optional<Instant> mShortageLogged;
   UpstreamSelector mSelector;
   link::OutboundPool mPool;
   link::RequestClient mControlClient;
@@ -200,10 +213,13 @@
 Result<void>
 GatewayImpl::startServers()
 {
-  BOOST_OUTCOME_TRY(
-    callers,
-    link::Listener::create(
-      mDependencies.loop, mSettings.callerAddress, mScheduler, mSettings.maxConnections));
+  BOOST_OUTCOME_TRY(callers,
+                    link::Listener::create(mDependencies.loop,
+                                           mSettings.callerAddress,
+                                           mScheduler,
+                                           mSettings.maxConnections,
+                                           &mBudget));
+  mBudget.onShortage([this] { mRelieveCall.request(); });
   mCallerListener = std::move(callers);
   BOOST_OUTCOME_TRY(readiness,
                     StatusServer::create(mDependencies.loop,
@@ -533,9 +549,51 @@
   }
 }
 
+void
+GatewayImpl::relieveMemory()
+{
+  const auto now = mDependencies.loop.now();
+  while (mBudget.exceeded() && mBudget.evictOne(false, now)) {
+  }
+  if (mBudget.evicted() == mEvictionsLogged ||
+      (mShortageLogged && now - *mShortageLogged < kShortageLogPause)) {
+    return;
+  }
+  mDependencies.log.write(
+    kMemoryShort,
+    { { "given_up", mBudget.evicted() - mEvictionsLogged },
+      { "held_bytes", std::uint64_t{ mBudget.bytes() } },
+      { "limit_bytes", std::uint64_t{ mBudget.limit() } },
+      { "connections", std::uint64_t{ mCallerListener->connections() } } });
+  mShortageLogged = now;
+  mEvictionsLogged = mBudget.evicted();
+}
+
+void
+GatewayImpl::renderConnectionMetrics()
+{
+  auto& metrics = mDependencies.metrics;
+  for (const auto& [kind, name] : EnumNames<link::MemoryKind>::kTable) {
+    metrics.set("savoryrill_gateway_connection_bytes{kind=\"" + std::string(name) + "\"}",
+                static_cast<double>(mBudget.bytes(kind)));
+  }
+  metrics.set("savoryrill_gateway_connection_bytes_limit",
+              static_cast<double>(mBudget.limit()));
+  metrics.set("savoryrill_gateway_memory_evictions",
+              static_cast<double>(mBudget.evicted()));
+  metrics.set("savoryrill_gateway_descriptors{kind=\"callers\"}",
+              static_cast<double>(mCallerListener->connections()));
+  metrics.set("savoryrill_gateway_descriptors{kind=\"upstreams\"}",
+              static_cast<double>(mPool.open()));
+  metrics.set("savoryrill_gateway_descriptors{kind=\"status\"}",
+              static_cast<double>(mReadinessServer->connections() +
+                                  (mMetricsServer ? mMetricsServer->connections() : 0)));
+}
+
 std::string
 GatewayImpl::renderMetrics()
 {
+  renderConnectionMetrics();
   auto& metrics = mDependencies.metrics;
   metrics.set("savoryrill_gateway_active_requests",
               static_cast<double>(mScheduler.active()));
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -112,10 +112,20 @@
 RequestScheduler::requestRejected(int aStatus, std::string_view aReason)
 {
   mContext.metrics.add("savoryrill_gateway_rejected_callers_total");
+  if (aStatus == 503) {
+    return; // the lack of memory is logged once for all, see `kMemoryShort`
+  }
   mContext.log.write(kCallerRejected,
                      { { "status", std::int64_t{ aStatus } }, { "reason", aReason } });
 }
 
+void
+RequestScheduler::connectionClosed(link::CloseReason aReason)
+{
+  mContext.metrics.add("savoryrill_gateway_connections_closed_total{reason=\"" +
+                       std::string(nameOf(aReason)) + "\"}");
+}
+
 void
 RequestScheduler::refuseOnArrival(
   const std::shared_ptr<link::InboundConnection>& aConnection,
--- a/src/gateway/internal/requestscheduler.h
+++ b/src/gateway/internal/requestscheduler.h
@@ -77,6 +77,7 @@
   void requestRejected(int aStatus, std::string_view aReason) override;
   const link::InboundLimits& limits() const override { return mLimits; }
   bool closesConnections() const override { return mDraining; }
+  void connectionClosed(link::CloseReason aReason) override;
 
   void onRequestWaiting(RequestTask& aRequest) override;
   void onSlotFreed() override;
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -143,6 +143,12 @@
       self->onCallerDisconnected();
     }
   });
+  mCaller->onMemoryNeeded([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->terminate(RefusalReason::MemoryShort);
+    }
+  });
+  mBufferedCharge = mCaller->charge(link::MemoryKind::Response);
   mTimer = mContext.loop.after(mDeadline - mArrived + kResponseGrace,
                                [this] { terminate(RefusalReason::DeadlinePassed); });
   if (groupProfile() == nullptr) {
@@ -253,7 +259,7 @@
     mAttemptStarted = now;
     mWaitedMs = toMs(now - mArrived);
     mDiscarding = false;
-    mBufferedBody.clear();
+    releaseBufferedBody();
     mHead = {};
     mAttemptBodyStarted.reset();
     mServedRecorded = false;
@@ -265,9 +271,11 @@
     parameters.resumeAfter = mEvents.lastId();
     ++mAttempts;
     mContext.selector.recordStart(mUpstream, now);
-    mConnection->send(mContext.protocol.writeRequest(mRequest, parameters),
+    mCaller->setRequestStage(link::MemoryAccount::Stage::Running);
+    mConnection->send(mContext.protocol.writeRequestHead(mRequest, parameters),
                       mRequest.method == "HEAD",
-                      *this);
+                      *this,
+                      mRequest.body);
     return true;
   }
   return false;
@@ -277,6 +285,7 @@
 RequestTask::waitOrRefuse()
 {
   mState = State::Waiting;
+  mCaller->setRequestStage(link::MemoryAccount::Stage::Waiting);
   const auto now = mContext.loop.now();
   const bool engine = !mDetails.model.model.empty();
   const Duration remaining_time = callerLeavesAt() - now;
@@ -444,13 +453,15 @@
   }
   recordBodyOfAttempt();
   if (!mHeadForwarded) {
-    mBufferedBody.append(aData);
+    link::appendGrowing(mBufferedBody, aData, kMaxBufferedBytes);
+    mBufferedCharge.set(link::bufferMemory(mBufferedBody));
     if (mBufferedBody.size() <= kMaxBufferedBytes) {
       return;
     }
     forwardHead();
-    mCaller->sendData(mBufferedBody);
-    mBufferedBody.clear();
+    const std::string body = std::move(mBufferedBody);
+    releaseBufferedBody();
+    mCaller->sendData(body);
   } else {
     mCaller->sendData(aData);
   }
@@ -459,6 +470,13 @@
   }
 }
 
+void
+RequestTask::releaseBufferedBody()
+{
+  link::releaseBuffer(mBufferedBody);
+  mBufferedCharge.set(0);
+}
+
 void
 RequestTask::recordBodyOfAttempt()
 {
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -152,6 +152,7 @@
   void forwardHead();
   void forwardEvents(std::string_view aData);
   void sendBufferedResponse();
+  void releaseBufferedBody();
   void releaseConnection(bool aCancel);
   ResponseProgress progressOfAttempt() const;
   void recordBodyOfAttempt();
@@ -204,6 +205,7 @@
   link::ResponseHead mHead;
   ResponseMetadata mMetadata;
   std::string mBufferedBody;
+  link::MemoryCharge mBufferedCharge;
   bool mHeadForwarded = false;
   bool mDiscarding = false;
   std::size_t mDiscardedBytes = 0;
--- a/src/gateway/internal/statusserver.cpp
+++ b/src/gateway/internal/statusserver.cpp
@@ -9,6 +9,9 @@
 // Enough for the load balancer, one metrics collector and connections that have not
 // closed yet.
 constexpr std::size_t kMaxConnections = 64;
+// Their requests have short heads and no bodies. Anybody may connect, so these limits and
+// the number of connections bound what the process holds here.
+constexpr link::InboundLimits kLimits{ 4UL * 1024, 1024, 3s, 15s };
 
 } // namespace
 
@@ -29,6 +32,7 @@
 StatusServer::StatusServer(std::string aPath, std::function<Response()> aRespond)
   : mPath(std::move(aPath))
   , mRespond(std::move(aRespond))
+  , mLimits(kLimits)
 {
 }
 
--- a/src/gateway/internal/statusserver.h
+++ b/src/gateway/internal/statusserver.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "event/loop.h"
-#include "link/inboundconnection.h"
+#include "link/listener.h"
 
 namespace savoryrill::gateway {
 
@@ -28,6 +28,8 @@
                                                       std::function<Response()> aRespond);
   ~StatusServer() override = default;
 
+  std::size_t connections() const { return mListener->connections(); }
+
 private:
   StatusServer(std::string aPath, std::function<Response()> aRespond);
 
--- a/src/gateway/iprotocol.h
+++ b/src/gateway/iprotocol.h
@@ -48,9 +48,10 @@
   /// details are missing or malformed.
   virtual Result<serving::RequestDetails> readRequest(
     const link::RequestMessage& aRequest) const = 0;
-  /// Serialises a request for one attempt at an upstream.
-  virtual std::string writeRequest(const link::RequestMessage& aRequest,
-                                   const AttemptParameters& aParameters) const = 0;
+  /// Serialises the head of a request for one attempt at an upstream. The body follows it
+  /// as it was received.
+  virtual std::string writeRequestHead(const link::RequestMessage& aRequest,
+                                       const AttemptParameters& aParameters) const = 0;
   virtual ResponseMetadata readMetadata(const link::ResponseHead& aHead) const = 0;
 };
 
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -167,5 +167,11 @@
   "upstream-pause",
   "An upstream refused a request and wants no other one from this host for `pause_ms`."
 };
+inline constexpr EventDefinition kMemoryShort{
+  4140,
+  Severity::Warning,
+  "memory-short",
+  "Requests were ended since connections held too much memory; `given_up` counts them."
+};
 
 } // namespace savoryrill::gateway
--- a/src/link/inboundconnection.h
+++ b/src/link/inboundconnection.h
@@ -3,14 +3,16 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 
 #include "base/result.h"
 #include "event/loop.h"
 #include "link/internal/messageparser.h"
+#include "link/memorybudget.h"
 #include "link/socket.h"
+#include "link/types/closereason.h"
 #include "link/types/message.h"
 
 namespace savoryrill::link {
@@ -40,17 +42,25 @@
   virtual const InboundLimits& limits() const = 0;
   /// True while each response must be the last on its connection.
   virtual bool closesConnections() const = 0;
+  /// A connection has been closed, or refused before it was served.
+  virtual void connectionClosed(CloseReason) {}
 };
 
 /// A connection from a caller. Carries one request at a time; pipelined requests wait.
-/// While a request is in progress, the connection detects that the caller disconnects.
-/// Not thread safe.
+/// While a request is in progress, the connection detects that the caller disconnects. A
+/// caller that has stopped reading its response is disconnected after some seconds; one
+/// that reads slowly is not. Not thread safe.
 class InboundConnection
   : public std::enable_shared_from_this<InboundConnection>
   , private IMessageListener
+  , private IMemoryHolder
 {
 public:
-  InboundConnection(event::Loop& aLoop, Socket aSocket, IInboundHandler& aHandler);
+  /// `aBudget` counts what is held for the connection; null: nothing is counted.
+  InboundConnection(event::Loop& aLoop,
+                    Socket aSocket,
+                    IInboundHandler& aHandler,
+                    MemoryBudget* aBudget = nullptr);
   ~InboundConnection() override;
 
   /// Begins to read. Precondition: owned by a shared pointer.
@@ -80,6 +90,17 @@
   {
     mCallerLeftCallback = std::move(aCallback);
   }
+  /// Runs if the process needs the memory of the request in progress. The callback ends
+  /// the request. Without a callback, the connection is closed.
+  void onMemoryNeeded(std::function<void()> aCallback)
+  {
+    mMemoryNeededCallback = std::move(aCallback);
+  }
+  /// Whether the request in progress may have been sent to an upstream.
+  void setRequestStage(MemoryAccount::Stage aStage);
+  /// A charge for memory that is held elsewhere for this connection.
+  MemoryCharge charge(MemoryKind aKind) const { return { mAccount, aKind }; }
+
   /// Runs whenever all output has been handed to the socket.
   void onOutputSent(std::function<void()> aCallback)
   {
@@ -90,38 +111,68 @@
     mClosedCallback = std::move(aCallback);
   }
 
-  /// Closes the connection unless a request is in progress or partly received.
-  void closeIfIdle();
+  /// Since when no request has been in progress or partly received. Empty lines between
+  /// requests do not count. nullopt: it is not idle.
+  std::optional<Instant> idleSince() const;
+  /// Closes the connection unless a request is in progress or partly received; true if it
+  /// is closed.
+  bool closeIfIdle(CloseReason aReason);
 
 private:
   bool headReceived() override;
   void bodyReceived(std::string_view aData) override;
   void messageReceived() override;
+  void giveUpMemory() override;
 
   void socketReady(event::Interest aInterest);
   void readInput();
   void parseInput();
+  void handleRequest();
   void reject(int aStatus, std::string_view aReason);
+  /// Makes other connections give up memory that this one needs; false if this one had to
+  /// give up its own.
+  bool makeRoom();
+  void updateCharges();
   void flush();
+  void outputSent();
+  void watchUnreadOutput();
+  void checkUnreadOutput();
   void watchSocket();
   void armTimer();
   bool hasUnreadInput() const;
   void linger();
+  void discardInput();
   void resetRequest();
-  void close(bool aReset);
+  void close(bool aReset, CloseReason aReason);
 
   event::Loop& mLoop;
   Socket mSocket;
   IInboundHandler& mHandler;
   MessageParser mParser;
+  MemoryBudget* mBudget;
   event::Watch mWatch;
   event::Watch mTimer;
+  event::Watch mDiscardTimer; // after a rejection
+  event::Watch mUnreadTimer;  // while the socket does not accept all output
+  std::shared_ptr<MemoryAccount> mAccount;
+  MemoryCharge mConnectionCharge;
+  MemoryCharge mHeadCharge;
+  MemoryCharge mBodyCharge;
+  MemoryCharge mInputCharge;
+  MemoryCharge mOutputCharge;
+  MemoryCharge mRequestCharge;
+  Instant mIdleSince;
   std::string mInput;
   std::string mOutput;
   std::size_t mOutputSent = 0;
+  std::uint64_t mAcceptedBytes = 0; // by the socket, since the start
+  std::uint64_t mReadBytes = 0;     // of these, confirmed by the caller's host
+  int mUnreadChecks = 0;            // without progress
+  std::size_t mDiscardedBytes = 0;  // after a rejection
   std::string mBody;
   std::function<void()> mCallerLeftCallback;
   std::function<void()> mOutputSentCallback;
+  std::function<void()> mMemoryNeededCallback;
   std::function<void(InboundConnection*)> mClosedCallback;
   bool mBodyTooLarge = false;
   bool mMessageComplete = false;
@@ -140,39 +191,4 @@
   bool mWatchesReadable = false;
 };
 
-/// Accepts connections from callers and owns them. Not thread safe.
-class Listener
-{
-public:
-  /// Fails with Unavailable if the address cannot be bound. Preconditions: all references
-  /// outlive the result.
-  static Result<std::unique_ptr<Listener>> create(event::Loop& aLoop,
-                                                  const Endpoint& aEndpoint,
-                                                  IInboundHandler& aHandler,
-                                                  std::size_t aMaxConnections);
-  ~Listener();
-  Listener(const Listener&) = delete;
-  Listener& operator=(const Listener&) = delete;
-
-  /// Stops accepting; open connections continue.
-  void stop();
-  /// Closes connections on which no request is in progress.
-  void closeIdle();
-  std::size_t connections() const { return mConnections.size(); }
-
-private:
-  Listener(event::Loop& aLoop,
-           Socket aSocket,
-           IInboundHandler& aHandler,
-           std::size_t aMaxConnections);
-  void acceptAll();
-
-  event::Loop& mLoop;
-  Socket mSocket;
-  IInboundHandler& mHandler;
-  std::size_t mMaxConnections;
-  event::Watch mWatch;
-  std::unordered_set<std::shared_ptr<InboundConnection>> mConnections;
-};
-
 } // namespace savoryrill::link
--- a/src/link/internal/inboundconnection.cpp
+++ b/src/link/internal/inboundconnection.cpp
@@ -1,8 +1,11 @@
 #include "link/inboundconnection.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstdio>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace savoryrill::link {
@@ -23,6 +26,22 @@
 // After a rejection, input is read and discarded for this long: closing a socket with
 // unread input resets the connection, and the caller could lose the response.
 constexpr Duration kLingerTime = 1s;
+// The discarded input is read slowly and up to a limit, so that a caller that sends
+// without end costs little: 1.6 MB/s and 1 MB. It is enough for a caller to come to the
+// end of a body that is a little too large.
+constexpr Duration kDiscardPause = 10ms;
+constexpr std::size_t kMaxDiscardedBytes = 1024UL * 1024;
+
+// A caller whose host confirms no byte of the output for this many checks has stopped
+// reading. Together as long as `kCallerPeerTimeout`. Checks are counted, not time, so
+// that a suspended process does not disconnect its callers.
+constexpr Duration kUnreadCheckPeriod = 1s;
+constexpr int kMaxUnreadChecks = 6;
+
+// What a connection takes without buffers: the object, its watches and callbacks.
+constexpr std::size_t kConnectionMemory = 2UL * 1024;
+// Output up to this size is sent without new allocations.
+constexpr std::size_t kKeptOutputBytes = 4UL * 1024;
 
 std::string
 chunkHeader(std::size_t aSize)
@@ -36,16 +55,35 @@
 
 InboundConnection::InboundConnection(event::Loop& aLoop,
                                      Socket aSocket,
-                                     IInboundHandler& aHandler)
+                                     IInboundHandler& aHandler,
+                                     MemoryBudget* aBudget)
   : mLoop(aLoop)
   , mSocket(std::move(aSocket))
   , mHandler(aHandler)
   , mParser(MessageParser::Kind::Request, *this)
+  , mBudget(aBudget)
+  , mIdleSince(aLoop.now())
 {
   mParser.setMaxHeadBytes(aHandler.limits().maxHeadBytes);
+  if (mBudget != nullptr) {
+    mAccount =
+      std::make_shared<MemoryAccount>(*mBudget, static_cast<IMemoryHolder&>(*this));
+    mConnectionCharge = charge(MemoryKind::Connection);
+    mHeadCharge = charge(MemoryKind::Head);
+    mBodyCharge = charge(MemoryKind::Body);
+    mInputCharge = charge(MemoryKind::Input);
+    mOutputCharge = charge(MemoryKind::Output);
+    mRequestCharge = charge(MemoryKind::Request);
+    mConnectionCharge.set(kConnectionMemory);
+  }
 }
 
-InboundConnection::~InboundConnection() = default;
+InboundConnection::~InboundConnection()
+{
+  if (mAccount) {
+    mAccount->detach(); // charges of others may outlive the connection
+  }
+}
 
 void
 InboundConnection::start()
@@ -62,6 +100,9 @@
   if (mParser.hasLength() && mParser.length() > mHandler.limits().maxBodyBytes) {
     mBodyTooLarge = true;
   }
+  if (mAccount && mParser.hasLength()) {
+    mAccount->setExpectedBytes(static_cast<std::size_t>(mParser.length()));
+  }
   const auto* expect = findHeader(headers, "expect");
   if (expect != nullptr && sameHeaderName(*expect, "100-continue") && !mBodyTooLarge) {
     mOutput += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -74,10 +115,13 @@
 {
   if (mBodyTooLarge || mBody.size() + aData.size() > mHandler.limits().maxBodyBytes) {
     mBodyTooLarge = true;
-    mBody.clear();
+    releaseBuffer(mBody);
     return;
   }
-  mBody.append(aData);
+  appendGrowing(mBody,
+                aData,
+                mParser.hasLength() ? static_cast<std::size_t>(mParser.length())
+                                    : mHandler.limits().maxBodyBytes);
 }
 
 void
@@ -124,7 +168,7 @@
     // A caller that closes its side has disconnected, also while it waits for a response;
     // half-closed connections are not supported.
     mInputEnded = true;
-    close(false);
+    close(false, CloseReason::CallerLeft);
     return;
   }
   parseInput();
@@ -143,37 +187,112 @@
       reject(431, "header lines are too large");
       return;
     }
-    if (mParser.failed()) {
+    if (mParser.failed() || mParser.tooManyEmptyLines()) {
       reject(400, "malformed request");
       return;
     }
     mInput.erase(0, taken);
+    if (mInput.empty()) {
+      releaseBuffer(mInput);
+    }
+    const bool in_message = mParser.inMessage() || mMessageComplete;
+    if (mAccount && in_message) {
+      if (!was_in_message) {
+        mAccount->startRequest(mHandler.limits().maxBodyBytes, mLoop.now());
+      }
+      mAccount->recordProgress(taken, mLoop.now());
+    }
     if (mBodyTooLarge) {
       reject(413, "body is too large");
       return;
     }
     flush();
+    updateCharges();
+    if (!makeRoom()) {
+      return;
+    }
     if (!mMessageComplete) {
-      if (!was_in_message) {
-        armTimer();
+      if (!was_in_message && in_message) {
+        armTimer(); // empty lines do not prolong the idle time
       }
       return;
     }
-    mMessageComplete = false;
-    RequestMessage request;
-    request.method = mParser.method();
-    request.target = mParser.target();
-    request.headers = mParser.headers();
-    request.body = std::move(mBody);
-    request.isHttp10 = mParser.isHttp10();
-    mBody.clear();
-    mRequestActive = true;
-    mHeadSent = false;
-    mIsHeadMethod = request.method == "HEAD";
-    mIsHttp10 = request.isHttp10;
-    mKeepAlive = mParser.keepAlive();
-    mTimer.reset();
-    mHandler.requestReceived(shared_from_this(), std::move(request));
+    handleRequest();
+  }
+}
+
+void
+InboundConnection::handleRequest()
+{
+  mMessageComplete = false;
+  RequestMessage request;
+  request.method = mParser.method();
+  const std::size_t head_memory = mParser.headMemory();
+  request.target = mParser.takeTarget();
+  request.headers = mParser.takeHeaders();
+  request.body = std::exchange(mBody, {});
+  request.isHttp10 = mParser.isHttp10();
+  releaseBuffer(mBody);
+  mRequestActive = true;
+  mHeadSent = false;
+  mIsHeadMethod = request.method == "HEAD";
+  mIsHttp10 = request.isHttp10;
+  mKeepAlive = mParser.keepAlive();
+  mTimer.reset();
+  setRequestStage(MemoryAccount::Stage::Waiting);
+  updateCharges();
+  mRequestCharge.set(head_memory + bufferMemory(request.body));
+  mHandler.requestReceived(shared_from_this(), std::move(request));
+}
+
+void
+InboundConnection::setRequestStage(MemoryAccount::Stage aStage)
+{
+  if (mAccount) {
+    mAccount->setStage(aStage);
+  }
+}
+
+void
+InboundConnection::updateCharges()
+{
+  const bool collects = !mRequestActive && !mClosed;
+  mHeadCharge.set(collects ? mParser.headMemory() : 0);
+  mBodyCharge.set(bufferMemory(mBody));
+  mInputCharge.set(bufferMemory(mInput));
+  mOutputCharge.set(unsentBytes() == 0 ? 0 : bufferMemory(mOutput));
+}
+
+bool
+InboundConnection::makeRoom()
+{
+  if (mBudget == nullptr) {
+    return true;
+  }
+  // Complete requests are not ended here, but in a later iteration of the loop, since
+  // this may run while one of them is being handled.
+  while (mBudget->exceeded() && mBudget->evictOne(true, mLoop.now())) {
+    if (mClosed || mRejected) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+InboundConnection::giveUpMemory()
+{
+  const auto self = shared_from_this();
+  if (mClosed) {
+    return;
+  }
+  if (mRequestActive && mMemoryNeededCallback) {
+    const auto callback = mMemoryNeededCallback;
+    callback();
+  } else if (!mRequestActive && unsentBytes() == 0) {
+    reject(503, "Service Unavailable"); // it has not been received in full
+  } else {
+    close(true, CloseReason::Memory);
   }
 }
 
@@ -182,14 +301,21 @@
 {
   mHandler.requestRejected(aStatus, aReason);
   mRejected = true;
+  mMessageComplete = false;
+  releaseBuffer(mBody);
+  releaseBuffer(mInput);
   mRequestActive = true;
   mHeadSent = false;
   mIsHeadMethod = false;
   mKeepAlive = false;
+  updateCharges();
   ResponseHead head;
   head.status = aStatus;
   head.reason = aReason;
   head.headers.push_back({ "Content-Type", "text/plain" });
+  if (aStatus == 503) {
+    head.headers.push_back({ "Retry-After", "1" });
+  }
   respond(head, aReason);
 }
 
@@ -238,9 +364,11 @@
     return;
   }
   if (mChunked) {
-    mOutput.append(chunkHeader(aData.size())).append(aData).append("\r\n");
+    mOutput.append(chunkHeader(aData.size()));
+    appendGrowing(mOutput, aData, mOutput.size() + aData.size() + 2);
+    mOutput.append("\r\n");
   } else {
-    mOutput.append(aData);
+    appendGrowing(mOutput, aData, mOutput.size() + aData.size());
   }
   flush();
 }
@@ -282,13 +410,17 @@
   mHeadSent = false;
   mCallerLeftCallback = nullptr;
   mOutputSentCallback = nullptr;
+  mMemoryNeededCallback = nullptr;
+  mRequestCharge.set(0);
+  mIdleSince = mLoop.now();
+  setRequestStage(MemoryAccount::Stage::Idle);
 }
 
 void
 InboundConnection::abort()
 {
   resetRequest();
-  close(true);
+  close(true, CloseReason::Aborted);
 }
 
 void
@@ -313,12 +445,13 @@
                               MSG_NOSIGNAL);
     if (size > 0) {
       mOutputSent += static_cast<std::size_t>(size);
+      mAcceptedBytes += static_cast<std::uint64_t>(size);
     } else if (size < 0 && errno == EINTR) {
       continue;
     } else if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
       break;
     } else {
-      close(true);
+      close(true, CloseReason::Broken);
       return;
     }
   }
@@ -326,13 +459,12 @@
     return;
   }
   if (mOutputSent == mOutput.size()) {
-    mOutput.clear();
-    mOutputSent = 0;
+    outputSent();
     if (mCloseAfterOutput) {
       if (mRejected) {
         linger();
       } else {
-        close(false);
+        close(false, CloseReason::Complete);
       }
       return;
     }
@@ -340,15 +472,69 @@
       const auto callback = mOutputSentCallback;
       callback();
     }
-  } else if (mOutputSent > kReadBytes) {
-    mOutput.erase(0, mOutputSent);
-    mOutputSent = 0;
+  } else {
+    if (mOutputSent > kReadBytes) {
+      mOutput.erase(0, mOutputSent);
+      mOutputSent = 0;
+    }
+    mOutputCharge.set(bufferMemory(mOutput));
+    watchUnreadOutput();
   }
   if (!mClosed) {
     watchSocket();
   }
 }
 
+void
+InboundConnection::outputSent()
+{
+  mOutput.clear();
+  mOutputSent = 0;
+  if (mOutput.capacity() > kKeptOutputBytes) {
+    releaseBuffer(mOutput);
+  }
+  mOutputCharge.set(0);
+  mUnreadTimer.reset();
+  mUnreadChecks = 0;
+}
+
+void
+InboundConnection::watchUnreadOutput()
+{
+  if (!mUnreadTimer) {
+    mUnreadChecks = 0;
+    if (mAccount) {
+      mAccount->recordProgress(0, mLoop.now());
+    }
+    mUnreadTimer = mLoop.every(kUnreadCheckPeriod, [this] {
+      const auto self = shared_from_this();
+      checkUnreadOutput();
+    });
+  }
+}
+
+/// The socket's buffer may be so large that a steady slow reader makes no room in it for
+/// a long time. So the bytes are counted that the caller's host has confirmed.
+void
+InboundConnection::checkUnreadOutput()
+{
+  int unconfirmed = 0;
+  if (ioctl(mSocket.fd(), SIOCOUTQ, &unconfirmed) != 0) {
+    unconfirmed = 0;
+  }
+  const std::uint64_t read =
+    mAcceptedBytes - std::min(mAcceptedBytes, static_cast<std::uint64_t>(unconfirmed));
+  if (read > mReadBytes) {
+    mReadBytes = read;
+    mUnreadChecks = 0;
+    if (mAccount) {
+      mAccount->recordProgress(0, mLoop.now());
+    }
+  } else if (++mUnreadChecks >= kMaxUnreadChecks) {
+    close(true, CloseReason::Unread);
+  }
+}
+
 void
 InboundConnection::linger()
 {
@@ -357,20 +543,34 @@
   }
   mLingering = true;
   (void)shutdown(mSocket.fd(), SHUT_WR);
+  mWatch.reset();
   mTimer = mLoop.after(kLingerTime, [this] {
     const auto self = shared_from_this();
-    close(true);
+    close(true, CloseReason::Rejected);
   });
-  mWatch = mLoop.watch(mSocket.fd(), { true, false }, [this](event::Interest) {
+  mDiscardTimer = mLoop.every(kDiscardPause, [this] {
     const auto self = shared_from_this();
-    std::array<char, kReadBytes> discarded; // NOLINT
-    const ssize_t size = recv(mSocket.fd(), discarded.data(), discarded.size(), 0);
-    if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR)) {
-      close(false);
-    }
+    discardInput();
   });
 }
 
+void
+InboundConnection::discardInput()
+{
+  std::array<char, kReadBytes>
+    discarded; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  const ssize_t size = recv(mSocket.fd(), discarded.data(), discarded.size(), 0);
+  if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR)) {
+    close(false, CloseReason::Rejected);
+    return;
+  }
+  mDiscardedBytes += static_cast<std::size_t>(std::max<ssize_t>(0, size));
+  if (mDiscardedBytes >= kMaxDiscardedBytes) {
+    // The caller still has the rest of the time to read its response.
+    mDiscardTimer.reset();
+  }
+}
+
 void
 InboundConnection::watchSocket()
 {
@@ -403,7 +603,7 @@
     mTimer = mLoop.after(limits.idleTimeout, [this] {
       const auto self = shared_from_this();
       if (!mRequestActive) {
-        close(false);
+        close(false, CloseReason::Idle);
       }
     });
   }
@@ -417,17 +617,30 @@
   return recv(mSocket.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void
-InboundConnection::closeIfIdle()
+std::optional<Instant>
+InboundConnection::idleSince() const
+{
+  const bool idle = !mClosed && (mLingering || (!mRequestActive && !mParser.inMessage() &&
+                                                mInput.empty() && unsentBytes() == 0));
+  return idle ? std::optional(mIdleSince) : std::nullopt;
+}
+
+bool
+InboundConnection::closeIfIdle(CloseReason aReason)
 {
-  if (!mRequestActive && !mParser.inMessage() && mInput.empty() && unsentBytes() == 0 &&
-      !hasUnreadInput()) {
-    close(false);
+  // A rejected request has had its response, whatever the caller goes on to send. It is
+  // left the time to read that unless its place is needed.
+  const bool answered = mLingering && aReason == CloseReason::Displaced;
+  if (!idleSince() || (mLingering && !answered) || (!answered && hasUnreadInput())) {
+    return false;
   }
+  const auto self = shared_from_this();
+  close(false, aReason);
+  return true;
 }
 
 void
-InboundConnection::close(bool aReset)
+InboundConnection::close(bool aReset, CloseReason aReason)
 {
   if (mClosed) {
     return;
@@ -435,6 +648,18 @@
   mClosed = true;
   mWatch.reset();
   mTimer.reset();
+  mUnreadTimer.reset();
+  mDiscardTimer.reset();
+  releaseBuffer(mBody);
+  releaseBuffer(mInput);
+  releaseBuffer(mOutput);
+  mOutputSent = 0;
+  updateCharges();
+  mConnectionCharge.set(0);
+  if (mAccount) {
+    mAccount->detach();
+  }
+  mHandler.connectionClosed(aReason);
   if (aReset) {
     mSocket.reset();
   } else {
@@ -443,10 +668,12 @@
   const auto left = std::move(mCallerLeftCallback);
   mCallerLeftCallback = nullptr;
   mOutputSentCallback = nullptr;
+  mMemoryNeededCallback = nullptr;
   if (mRequestActive && left) {
     left();
   }
   mRequestActive = false;
+  mRequestCharge.set(0);
   if (mClosedCallback) {
     const auto closed_callback = std::move(mClosedCallback);
     mClosedCallback = nullptr;
@@ -454,83 +681,4 @@
   }
 }
 
-Result<std::unique_ptr<Listener>>
-Listener::create(event::Loop& aLoop,
-                 const Endpoint& aEndpoint,
-                 IInboundHandler& aHandler,
-                 std::size_t aMaxConnections)
-{
-  BOOST_OUTCOME_TRY(socket, listenOn(aEndpoint));
-  return std::unique_ptr<Listener>(
-    new Listener(aLoop, std::move(socket), aHandler, aMaxConnections));
-}
-
-Listener::Listener(event::Loop& aLoop,
-                   Socket aSocket,
-                   IInboundHandler& aHandler,
-                   std::size_t aMaxConnections)
-  : mLoop(aLoop)
-  , mSocket(std::move(aSocket))
-  , mHandler(aHandler)
-  , mMaxConnections(aMaxConnections)
-{
-  mWatch =
-    mLoop.watch(mSocket.fd(), { true, false }, [this](event::Interest) { acceptAll(); });
-}
-
-Listener::~Listener()
-{
-  for (const auto& connection : mConnections) {
-    connection->onClosed(nullptr);
-  }
-}
-
-void
-Listener::stop()
-{
-  if (mSocket) {
-    // Closing the socket would reset connections that are still in the accept queue.
-    acceptAll();
-  }
-  mWatch.reset();
-  mSocket.close();
-}
-
-void
-Listener::closeIdle()
-{
-  const auto connections = mConnections;
-  for (const auto& connection : connections) {
-    connection->closeIfIdle();
-  }
-}
-
-void
-Listener::acceptAll()
-{
-  while (true) {
-    Socket accepted(
-      accept4(mSocket.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!accepted) {
-      return;
-    }
-    if (mConnections.size() >= mMaxConnections) {
-      continue; // closed without reading a request, so callers may retry safely
-    }
-    auto connection =
-      std::make_shared<InboundConnection>(mLoop, std::move(accepted), mHandler);
-    connection->onClosed([this, weak = std::weak_ptr(connection)](InboundConnection*) {
-      // Erased in a later iteration, as a member function of the connection may be
-      // running.
-      mLoop.post([this, weak] {
-        if (const auto closed = weak.lock()) {
-          mConnections.erase(closed);
-        }
-      });
-    });
-    mConnections.insert(connection);
-    connection->start();
-  }
-}
-
 } // namespace savoryrill::link
--- a/src/link/internal/memorybudget.cpp
+++ b/src/link/internal/memorybudget.cpp
@@ -35,6 +35,7 @@
 void
 MemoryAccount::startRequest(std::size_t aExpectedBytes, Instant aNow)
 {
+  mGaveUp = false;
   mStage = Stage::Incomplete;
   mExpectedBytes = aExpectedBytes;
   mProgressBytes = 0;
@@ -131,7 +132,8 @@
     return false;
   }
   ++mEvicted;
-  std::exchange(chosen->mHolder, nullptr)->giveUpMemory();
+  chosen->mGaveUp = true;
+  chosen->mHolder->giveUpMemory();
   return true;
 }
 
@@ -143,7 +145,7 @@
   MemoryAccount* chosen = nullptr;
   for (auto* account : mAccounts) {
     const auto stage = account->stage();
-    const bool skipped = account->mHolder == nullptr ||
+    const bool skipped = account->mHolder == nullptr || account->mGaveUp ||
                          stage == MemoryAccount::Stage::Idle ||
                          (only_large && !isLarge(account->bytes())) ||
                          (aOnlyIncomplete && stage != MemoryAccount::Stage::Incomplete);
@@ -178,6 +180,33 @@
   return aLeft.bytes() > aRight.bytes();
 }
 
+void
+appendGrowing(std::string& aBuffer, std::string_view aData, std::size_t aMost)
+{
+  const std::size_t needed = aBuffer.size() + aData.size();
+  if (needed > aBuffer.capacity()) {
+    // `reserve` of a string that holds something may double its capacity.
+    std::string grown;
+    grown.reserve(grownCapacity(aBuffer.capacity(), needed, aMost));
+    grown.append(aBuffer);
+    aBuffer.swap(grown);
+  }
+  aBuffer.append(aData);
+}
+
+void
+releaseBuffer(std::string& aBuffer)
+{
+  std::string().swap(aBuffer);
+}
+
+std::size_t
+bufferMemory(const std::string& aBuffer)
+{
+  static const std::size_t kInObject = std::string().capacity();
+  return aBuffer.capacity() <= kInObject ? 0 : aBuffer.capacity();
+}
+
 std::size_t
 grownCapacity(std::size_t aCapacity, std::size_t aNeeded, std::size_t aMost)
 {
--- a/src/link/internal/messageparser.cpp
+++ b/src/link/internal/messageparser.cpp
@@ -1,5 +1,7 @@
 #include "link/internal/messageparser.h"
 
+#include <algorithm>
+
 namespace savoryrill::link {
 
 struct MessageParser::Callbacks
@@ -105,6 +107,7 @@
   mInValue = false;
   mHeadDone = false;
   mHeadBytes = 0;
+  mEmptyBytes = 0;
   mLength = 0;
 }
 
@@ -137,9 +140,19 @@
   if (mInMessage && !mHeadDone && mHeadBytes > mMaxHeadBytes) {
     mHeadTooLarge = true;
   }
+  if (!mInMessage) {
+    mEmptyBytes += taken; // the parser skips empty lines before a message
+  }
   return taken;
 }
 
+std::size_t
+MessageParser::headMemory() const
+{
+  return mHeaders.capacity() * sizeof(Header) +
+         (mHeaders.empty() ? 0 : std::min(mHeadBytes, mMaxHeadBytes));
+}
+
 void
 MessageParser::finish()
 {
--- a/src/link/internal/messageparser.h
+++ b/src/link/internal/messageparser.h
@@ -4,6 +4,7 @@
 #include <http_parser.h>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "link/types/message.h"
 
@@ -51,6 +52,13 @@
   bool headTooLarge() const { return mHeadTooLarge; }
   /// True between the first byte of a message and its end.
   bool inMessage() const { return mInMessage; }
+  /// True if empty lines without end came before a message.
+  bool tooManyEmptyLines() const { return mEmptyBytes > kMaxEmptyBytes; }
+  /// Memory that the head of the current message takes, about.
+  std::size_t headMemory() const;
+  /// Takes the head lines out of the parser. Precondition: the message has ended.
+  HeaderList takeHeaders() { return std::exchange(mHeaders, {}); }
+  std::string takeTarget() { return std::exchange(mTarget, {}); }
 
   /// Head of the current message; valid from `headReceived` on.
   const HeaderList& headers() const { return mHeaders; }
@@ -65,6 +73,9 @@
   std::uint64_t length() const { return hasLength() ? mLength : 0; }
 
 private:
+  // Some callers send an empty line after a body; nobody needs more than a few.
+  static constexpr std::size_t kMaxEmptyBytes = 64;
+
   struct Callbacks;
   void reset();
 
@@ -72,6 +83,7 @@
   IMessageListener& mListener;
   std::size_t mMaxHeadBytes = 64UL * 1024;
   std::size_t mHeadBytes = 0;
+  std::size_t mEmptyBytes = 0; // before the current message
   std::uint64_t mLength = 0;
   HeaderList mHeaders;
   std::string mTarget;
--- a/src/link/internal/outboundconnection.cpp
+++ b/src/link/internal/outboundconnection.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <charconv>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 namespace savoryrill::link {
 
@@ -60,10 +61,12 @@
 void
 OutboundConnection::send(std::string aRequest,
                          bool aWithoutBody,
-                         IExchangeHandler& aHandler)
+                         IExchangeHandler& aHandler,
+                         std::string_view aBody)
 {
   mHandler = &aHandler;
   mOutput = std::move(aRequest);
+  mBody = aBody;
   mOutputSent = 0;
   mWithoutBody = aWithoutBody;
   mSkipping = false;
@@ -201,11 +204,16 @@
       return;
     }
   }
-  while (mOutputSent < mOutput.size()) {
-    const ssize_t size = ::send(mSocket.fd(),
-                                mOutput.data() + mOutputSent,
-                                mOutput.size() - mOutputSent,
-                                MSG_NOSIGNAL);
+  while (hasUnsentOutput()) {
+    const auto head =
+      std::string_view(mOutput).substr(std::min(mOutputSent, mOutput.size()));
+    const auto body = mBody.substr(mOutputSent - std::min(mOutputSent, mOutput.size()));
+    std::array<iovec, 2> parts{ { { const_cast<char*>(head.data()), head.size() },
+                                  { const_cast<char*>(body.data()), body.size() } } };
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    const ssize_t size = sendmsg(mSocket.fd(), &message, MSG_NOSIGNAL);
     if (size > 0) {
       mOutputSent += static_cast<std::size_t>(size);
     } else if (size < 0 && errno == EINTR) {
@@ -219,11 +227,13 @@
       // The upstream may have sent a response before it closed the connection, so reading
       // continues. A value above 0 keeps the request marked as started.
       mReusable = false;
-      mOutput.clear();
-      mOutputSent = 1;
+      discardOutput(1);
       break;
     }
   }
+  if (!hasUnsentOutput() && mOutputSent > 0) {
+    discardOutput(mOutputSent);
+  }
   watchSocket();
 }
 
@@ -281,7 +291,7 @@
       mSkipping = false;
       continue;
     }
-    if (mOutputSent < mOutput.size()) {
+    if (hasUnsentOutput()) {
       mReusable = false; // the response came before the whole request was sent
     }
     if (!aData.empty()) {
@@ -289,8 +299,7 @@
       aData = {};
     }
     auto* handler = std::exchange(mHandler, nullptr);
-    mOutput.clear();
-    mOutputSent = 0;
+    discardOutput(0);
     if (!mReusable) {
       close(false);
     }
@@ -337,7 +346,7 @@
   if (mClosed) {
     return;
   }
-  const bool writable = !mConnected || mOutputSent < mOutput.size();
+  const bool writable = !mConnected || hasUnsentOutput();
   const bool readable = mConnected && !mPaused;
   if (mWatch && writable == mWatchesWritable) {
     return;
@@ -359,6 +368,7 @@
   }
   mClosed = true;
   mReusable = false;
+  discardOutput(mOutputSent);
   mWatch.reset();
   mConnectTimer.reset();
   if (aReset) {
@@ -368,6 +378,15 @@
   }
 }
 
+/// Releases the output. `aSent` above 0 keeps the request marked as started.
+void
+OutboundConnection::discardOutput(std::size_t aSent)
+{
+  std::string().swap(mOutput);
+  mBody = {};
+  mOutputSent = aSent;
+}
+
 OutboundPool::OutboundPool(event::Loop& aLoop, Options aOptions)
   : mLoop(aLoop)
   , mOptions(aOptions)
@@ -450,6 +469,16 @@
   }
 }
 
+std::size_t
+OutboundPool::open() const
+{
+  std::size_t open = 0;
+  for (const auto& [key, entry] : mEntries) {
+    open += entry.open;
+  }
+  return open;
+}
+
 void
 OutboundPool::closeExpired()
 {
--- a/src/link/memorybudget.h
+++ b/src/link/memorybudget.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <string>
+#include <string_view>
 
 #include "base/types/time.h"
 #include "link/types/memorykind.h"
@@ -43,7 +45,7 @@
   MemoryAccount(const MemoryAccount&) = delete;
   MemoryAccount& operator=(const MemoryAccount&) = delete;
 
-  /// The connection is closed or has given up its memory: it is not chosen any more.
+  /// The connection is closed: it is not chosen any more.
   void detach() { mHolder = nullptr; }
 
   /// A request begins to arrive. `aExpectedBytes`: its size, or the limit if unknown.
@@ -70,6 +72,7 @@
 
   MemoryBudget& mBudget;
   IMemoryHolder* mHolder;
+  bool mGaveUp = false; // for the current request
   std::array<std::size_t, kMemoryKinds> mBytes{};
   std::size_t mTotal = 0;
   Stage mStage = Stage::Idle;
@@ -171,6 +174,19 @@
   std::function<void()> mOnShortage;
 };
 
+/// Appends to a buffer that is expected to hold `aMost` bytes at most, without the
+/// doubling of std::string, which reserves memory for bytes that may never arrive.
+void
+appendGrowing(std::string& aBuffer, std::string_view aData, std::size_t aMost);
+
+/// Releases the memory of a buffer, which `clear` keeps.
+void
+releaseBuffer(std::string& aBuffer);
+
+/// Memory that a buffer takes apart from the object itself.
+std::size_t
+bufferMemory(const std::string& aBuffer);
+
 /// The capacity to which a buffer grows so that it can hold `aNeeded` bytes: half as much
 /// again as it has, but not more than `aMost` unless that is needed.
 std::size_t
--- a/src/link/outboundconnection.h
+++ b/src/link/outboundconnection.h
@@ -51,9 +51,13 @@
   OutboundConnection(event::Loop& aLoop, Socket aSocket, Duration aConnectTimeout);
   ~OutboundConnection() override;
 
-  /// Sends a serialised request. `aWithoutBody`: the response has no body, whatever its
-  /// headers announce (HEAD). Precondition: `idle()`.
-  void send(std::string aRequest, bool aWithoutBody, IExchangeHandler& aHandler);
+  /// Sends a serialised request and then `aBody`, which is not copied, since it may be
+  /// large. `aWithoutBody`: the response has no body, whatever its headers announce
+  /// (HEAD). Preconditions: `idle()`; `aBody` stays valid until the exchange ends.
+  void send(std::string aRequest,
+            bool aWithoutBody,
+            IExchangeHandler& aHandler,
+            std::string_view aBody = {});
 
   /// Sends a request only if `aIsPermitted` returns true; otherwise the exchange fails
   /// with NotConnected. The function is called right before the first byte is sent, since
@@ -96,6 +100,8 @@
   void failExchange(ExchangeFault aFault);
   void watchSocket();
   void close(bool aReset);
+  bool hasUnsentOutput() const { return mOutputSent < mOutput.size() + mBody.size(); }
+  void discardOutput(std::size_t aSent);
 
   event::Loop& mLoop;
   Socket mSocket;
@@ -104,7 +110,8 @@
   event::Watch mWatch;
   event::Watch mConnectTimer;
   std::string mOutput;
-  std::size_t mOutputSent = 0;
+  std::string_view mBody;      // sent after `mOutput`
+  std::size_t mOutputSent = 0; // of both
   ResponseHead mHead;
   Duration mKeepAlive = Duration::zero();
   bool mWithoutBody = false;
@@ -167,6 +174,9 @@
   /// Closes idle connections of a key.
   void closeIdle(const std::string& aKey);
 
+  /// Connections that are open now, idle ones included.
+  std::size_t open() const;
+
   /// Connections opened since the start.
   std::uint64_t opened() const { return mOpened; }
 
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -1,10 +1,12 @@
 #include <CppUTest/TestHarness.h>
 
 #include <cerrno>
+#include <map>
 #include <sys/socket.h>
 #include <thread>
 
 #include "link/inboundconnection.h"
+#include "link/listener.h"
 #include "link/outboundconnection.h"
 #include "link/requestclient.h"
 #include "testing/loopwait.h"
@@ -41,7 +43,9 @@
   void requestRejected(int aStatus, std::string_view) override { rejected = aStatus; }
   const link::InboundLimits& limits() const override { return bounds; }
   bool closesConnections() const override { return closing; }
+  void connectionClosed(link::CloseReason aReason) override { ++closed[aReason]; }
 
+  std::map<link::CloseReason, int> closed;
   std::vector<link::RequestMessage> requests;
   std::shared_ptr<link::InboundConnection> held;
   link::InboundLimits bounds;
@@ -301,6 +305,103 @@
   LONGS_EQUAL(0, handler.held->unsentBytes());
 }
 
+// Guards against connections that keep their place by empty lines.
+TEST(InboundConnection, EmptyLinesWithoutEnd_Answered400)
+{
+  caller->send("\r\n\r\nGET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(receives("/1 "));
+  for (int line = 0; line < 100; ++line) {
+    caller->send("\r\n");
+  }
+  CHECK_TRUE(receives("400"));
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+}
+
+// Guards against an idle time that empty lines prolong.
+TEST(InboundConnection, EmptyLinesWhileIdle_ClosedAfterIdleTime)
+{
+  handler.bounds.idleTimeout = 200ms;
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(receives("/1 "));
+  const auto dribble = loop->every(20ms, [&] { caller->send("\r\n"); });
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+  CHECK_TRUE(caller->received().find("400") == std::string::npos);
+}
+
+// Guards against a reset that destroys the response to a caller that is still sending.
+TEST(InboundConnection, CallerSendsOnAfterRejection_ReadsResponse)
+{
+  handler.bounds.maxBodyBytes = 100;
+  constexpr std::size_t kBytes = 512UL * 1024;
+  caller->send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(kBytes) +
+               "\r\n\r\n" + std::string(kBytes, 'x'));
+  CHECK_TRUE(receives("body is too large"));
+  CHECK_TRUE(until([&] { return caller->ended(); }));
+}
+
+// Guards against a caller that has stopped reading and holds its response for ever.
+TEST(InboundConnection, CallerStopsReading_DisconnectedAfterSomeSeconds)
+{
+  handler.hold = true;
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(until([&] { return handler.held != nullptr; }));
+  caller->pause(true);
+  link::ResponseHead head;
+  head.status = 200;
+  head.framing = link::Framing::Chunked;
+  handler.held->sendHead(head);
+  handler.held->sendData(std::string(16UL * 1024 * 1024, 'x'));
+  CHECK_TRUE(handler.held->unsentBytes() > 0);
+  CHECK_TRUE(testing::runUntil(*loop, 15s, [&] { return handler.callerLeft; }));
+  CHECK_TRUE(handler.held->closed());
+}
+
+// Guards against idle connections that take all places.
+TEST(InboundConnection, AllPlacesIdle_NewcomerTakesPlaceOfLongestIdle)
+{
+  std::vector<std::unique_ptr<RawConnection>> idle;
+  for (int connection = 0; connection < 15; ++connection) {
+    idle.push_back(RawConnection::connect(*loop, port));
+  }
+  CHECK_TRUE(until([&] { return listener->connections() == 16; }));
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(receives("/1 "));
+  const auto newcomer = RawConnection::connect(*loop, port);
+  newcomer->send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(
+    until([&] { return newcomer->received().find("/2 ") != std::string::npos; }));
+  CHECK_TRUE(until([&] { return idle.front()->ended(); }));
+  CHECK_FALSE(caller->ended());
+  LONGS_EQUAL(16, listener->connections());
+  LONGS_EQUAL(1, handler.closed[link::CloseReason::Displaced]);
+}
+
+// Guards against the sum of bodies that are each within the limit, and against memory
+// that stays counted.
+TEST(InboundConnection, BodiesTogetherAboveBudget_OneIsRefusedAsNotRun)
+{
+  constexpr std::size_t kBody = 3UL * 1024 * 1024;
+  link::MemoryBudget budget(8UL * 1024 * 1024);
+  const auto counted_port = testing::freePort();
+  auto counted = std::move(
+    link::Listener::create(*loop, { "127.0.0.1", counted_port }, handler, 16, &budget)
+      .value());
+  std::vector<std::unique_ptr<RawConnection>> callers;
+  for (int number = 0; number < 3; ++number) {
+    callers.push_back(RawConnection::connect(*loop, counted_port));
+    callers.back()->send(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(kBody) +
+      "\r\n\r\n" + std::string(kBody - 1, 'x'));
+  }
+  CHECK_TRUE(until([&] { return handler.rejected == 503; }));
+  CHECK_FALSE(budget.exceeded());
+  LONGS_EQUAL(1, budget.evicted());
+  LONGS_EQUAL(0, handler.requests.size());
+  callers.clear();
+  CHECK_TRUE(until([&] { return counted->connections() == 0; }));
+  LONGS_EQUAL(0, budget.bytes());
+}
+
 // Guards against a caller that keeps the loop from all others while it sends a body
 // faster than it is read.
 TEST(InboundConnection, BodyComesAsFastAsItIsRead_LoopHandlesOtherEvents)
--- a/src/serving/types/requestdetails.h
+++ b/src/serving/types/requestdetails.h
@@ -39,11 +39,12 @@
   Overloaded,     // the backlog of its model takes longer than its objective
   DeadlinePassed, // it waited until the deadline or the route's timeout
   Stopping,
-  OutcomeUnknown,    // it was sent to an upstream and may have run
-  UpstreamFailed,    // the upstream's response was unusable
-  PromptQuarantined, // a part of its prompt crashes upstreams
-  UpstreamsNotTaking // all upstreams that could run it want no request from this host
-                     // before its deadline
+  OutcomeUnknown,     // it was sent to an upstream and may have run
+  UpstreamFailed,     // the upstream's response was unusable
+  PromptQuarantined,  // a part of its prompt crashes upstreams
+  UpstreamsNotTaking, // all upstreams that could run it want no request from this host
+                      // before its deadline
+  MemoryShort         // this host needed its memory for other requests
 };
 
 } // namespace savoryrill::serving
@@ -53,7 +54,7 @@
 template<>
 struct EnumNames<serving::RefusalReason>
 {
-  static constexpr EnumTable<serving::RefusalReason, 14> kTable{ {
+  static constexpr EnumTable<serving::RefusalReason, 15> kTable{ {
     { serving::RefusalReason::NoConfiguration, "no-configuration" },
     { serving::RefusalReason::NoRoute, "no-route" },
     { serving::RefusalReason::BadRequest, "bad-request" },
@@ -68,6 +69,7 @@
     { serving::RefusalReason::UpstreamFailed, "upstream-failed" },
     { serving::RefusalReason::PromptQuarantined, "prompt-quarantined" },
     { serving::RefusalReason::UpstreamsNotTaking, "upstreams-not-taking" },
+    { serving::RefusalReason::MemoryShort, "memory-short" },
   } };
 };
 
