--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -356,6 +356,35 @@
   CHECK_TRUE(handler.held->closed());
 }
 
+// Guards against disconnecting a caller that reads slowly but steadily: in longer than a
+// caller may stop reading, it makes no room in the large buffer of the socket.
+TEST(InboundConnection, CallerReadsSlowlyButSteadily_ReceivesWholeResponse)
+{
+  constexpr std::size_t kBytes = 16UL * 1024 * 1024;
+  constexpr Duration kSlowTime = 9s;
+  handler.hold = true;
+  caller->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(until([&] { return handler.held != nullptr; }));
+  std::size_t received = 0;
+  bool slow = true;
+  caller->pause(true);
+  caller->onData([&] {
+    received += caller->received().size();
+    caller->clear();
+    if (slow) {
+      caller->pause(true);
+    }
+  });
+  const auto reading = loop->every(500ms, [&] { caller->pause(false); });
+  handler.held->respond({ 200, "OK", {}, {}, 0 }, std::string(kBytes, 'x'));
+  CHECK_TRUE(handler.held->unsentBytes() > 0);
+  const Instant end = loop->now() + kSlowTime;
+  testing::runUntil(*loop, 2 * kSlowTime, [&] { return loop->now() >= end; });
+  CHECK_FALSE(handler.held->closed());
+  slow = false;
+  CHECK_TRUE(until([&] { return received > kBytes; }));
+}
+
 // Guards against idle connections that take all places.
 TEST(InboundConnection, AllPlacesIdle_NewcomerTakesPlaceOfLongestIdle)
 {
