--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -196,13 +196,15 @@
   }
   recordBodyOfAttempt();
   if (!mHeadForwarded) {
-    mAttempt.bufferedBody.append(aData);
+    link::appendGrowing(mAttempt.bufferedBody, aData, kMaxBufferedBytes);
+    mBufferedCharge.set(link::bufferMemory(mAttempt.bufferedBody));
     if (mAttempt.bufferedBody.size() <= kMaxBufferedBytes) {
       return;
     }
     forwardHead();
-    mCaller->sendData(mAttempt.bufferedBody);
-    mAttempt.bufferedBody.clear();
+    const std::string body = std::move(mAttempt.bufferedBody);
+    releaseBufferedBody();
+    mCaller->sendData(body);
   } else {
     mCaller->sendData(aData);
   }
@@ -211,6 +213,13 @@
   }
 }
 
+void
+RequestTask::releaseBufferedBody()
+{
+  link::releaseBuffer(mAttempt.bufferedBody);
+  mBufferedCharge.set(0);
+}
+
 void
 RequestTask::recordBodyOfAttempt()
 {
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -108,6 +108,12 @@
       self->onCallerDisconnected();
     }
   });
+  mCaller->onMemoryNeeded([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->terminate(RefusalReason::MemoryShort);
+    }
+  });
+  mBufferedCharge = mCaller->charge(link::MemoryKind::Response);
   mTimer = mContext.loop.after(mDeadline - mArrived + kResponseGrace,
                                [this] { terminate(RefusalReason::DeadlinePassed); });
   if (groupProfile() == nullptr) {
@@ -262,6 +268,7 @@
       continue;
     }
     ++mHistory.connectionAttempts;
+    releaseBufferedBody();
     mAttempt = {};
     mAttempt.connection = lease.connection;
     mAttempt.connectionReused = lease.reused;
@@ -285,9 +292,11 @@
     parameters.resumeAfter = mEvents.lastId();
     ++mHistory.attempts;
     mContext.selector.recordStart(mAttempt.upstream, now);
-    mAttempt.connection->send(mContext.protocol.writeRequest(mRequest, parameters),
+    mCaller->setRequestStage(link::MemoryAccount::Stage::Running);
+    mAttempt.connection->send(mContext.protocol.writeRequestHead(mRequest, parameters),
                               mRequest.method == "HEAD",
-                              *this);
+                              *this,
+                              mRequest.body);
     return true;
   }
   return false;
@@ -297,6 +306,7 @@
 RequestTask::waitOrRefuse()
 {
   mState = WaitingForUpstream{};
+  mCaller->setRequestStage(link::MemoryAccount::Stage::Waiting);
   const auto now = mContext.loop.now();
   const bool engine = !mDetails.model.model.empty();
   const WaitingOutlook outlook{ engine,
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -173,6 +173,7 @@
   void forwardHead();
   void forwardEvents(std::string_view aData);
   void sendBufferedResponse();
+  void releaseBufferedBody();
   void releaseConnection(bool aCancel);
   void recordBodyOfAttempt();
   void logAttemptFailure(std::string_view aReason);
@@ -204,7 +205,8 @@
   event::Watch mTimer;
 
   std::optional<QuotaCharge> mCharge;
-  Attempt mAttempt; // the current one, or else the last one
+  Attempt mAttempt;                   // the current one, or else the last one
+  link::MemoryCharge mBufferedCharge; // for the body that `mAttempt` holds
   AttemptHistory mHistory;
   bool mAdmitted = false; // to the queue, when the request first had to wait
   bool mCompleted = false;
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -194,5 +194,11 @@
   "A part of the configuration in force is invalid and was left out or changed; see "
   "`finding`."
 };
+inline constexpr EventDefinition kMemoryShort{
+  4141,
+  Severity::Warning,
+  "memory-short",
+  "Requests were ended since connections held too much memory; `given_up` counts them."
+};
 
 } // namespace savoryrill::gateway
--- a/src/serving/types/requestdetails.h
+++ b/src/serving/types/requestdetails.h
@@ -48,7 +48,8 @@
   MissingKey,         // its route needs a key
   UnknownKey,         // its key belongs to no organisation, or no longer to the same one
   Unconfirmed,        // this host's configuration, and so its keys, may be outdated
-  QuotaExceeded       // the quota of its organisation is used up
+  QuotaExceeded,      // the quota of its organisation is used up
+  MemoryShort         // this host needed its memory for other requests
 };
 
 } // namespace savoryrill::serving
@@ -58,7 +59,7 @@
 template<>
 struct EnumNames<serving::RefusalReason>
 {
-  static constexpr EnumTable<serving::RefusalReason, 18> kTable{ {
+  static constexpr EnumTable<serving::RefusalReason, 19> kTable{ {
     { serving::RefusalReason::NoConfiguration, "no-configuration" },
     { serving::RefusalReason::NoRoute, "no-route" },
     { serving::RefusalReason::BadRequest, "bad-request" },
@@ -77,6 +78,7 @@
     { serving::RefusalReason::UnknownKey, "unknown-key" },
     { serving::RefusalReason::Unconfirmed, "unconfirmed" },
     { serving::RefusalReason::QuotaExceeded, "quota-exceeded" },
+    { serving::RefusalReason::MemoryShort, "memory-short" },
   } };
 };
 
