Log the readiness when it changes with time alone

A configuration that names organisations for the first time is confirmed right after it has come into force. Logging the confirmation in between reported an outage that did not exist, and the readiness afterwards was not logged.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -306,7 +306,6 @@
     mConfirmation.configApplied(mConfigVersion);
     const auto table = serving::RouteTable::create(std::move(config.value()));
     mScheduler.setRoutes(table);
-    logConfirmation();
     mLeader->setConfig(table->config());
     logReadiness();
   }
@@ -524,13 +523,13 @@
   } else {
     mDependencies.log.write(kConfigConfirmed);
   }
-  logReadiness();
 }
 
 void
 GatewayImpl::tick()
 {
   logConfirmation();
+  logReadiness(); // it may have changed with time alone
   std::vector<serving::DirectoryChange> changes;
   mSelector.directory().expire(mDependencies.loop.now(), changes);
   applyChanges(changes);
