--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -592,13 +592,13 @@
   } else {
     mDependencies.log.write(kConfigConfirmed);
   }
-  logReadiness();
 }
 
 void
 GatewayImpl::tick()
 {
   logConfirmation();
+  logReadiness(); // it may have changed with time alone
   std::vector<serving::DirectoryChange> changes;
   mSelector.directory().expire(mDependencies.loop.now(), changes);
   applyChanges(changes);
