Check organisations in the product's own configuration

Cause: the errors of a list of organisations that the gateway leaves out were found only in its log. Change: the configuration file has the section organisations, with hashes of keys. A key of two organisations, a burst below one request, an unknown unit and an invalid or repeated name are findings with file and line. The routers do not apply the section; check warns of it.

--- a/src/config/internal/configurationreader.cpp
+++ b/src/config/internal/configurationreader.cpp
@@ -15,6 +15,7 @@
 constexpr IntegerRange kQueueBytes{ 1, 1'099'511'627'776 }; // up to 1 TB
 constexpr Range<double> kLoadsPerSecond{ 0.001, 100'000 };
 constexpr Range<double> kWeight{ 0, 1 };
+constexpr Range<double> kQuota{ 0, 1e12 };
 /// Below 1, because an error budget of zero has no burn rate.
 constexpr Range<double> kAvailability{ 0, 0.999999 };
 
@@ -43,6 +44,7 @@
     readDeployments(root);
     readServices(root);
     readCallers(root);
+    readOrganisations(root);
     root.finish();
     return std::move(mRead);
   }
@@ -250,6 +252,26 @@
     aRoot.named("callers", Presence::Optional, read);
   }
 
+  void readOrganisations(ObjectReader& aRoot)
+  {
+    const auto read =
+      [this](const std::string& aName, const KeyPath& aPath, const Json::Value& aValue) {
+        auto& organisation = mTarget.organisations[aName];
+        ObjectReader reader(mContext, aPath, aValue);
+        reader.texts(
+          "keys_sha256", organisation.keysSha256, checkSha256, Presence::Required);
+        if (aValue.isObject() && aValue.isMember("priority")) {
+          reader.enumeration("priority", organisation.priority.emplace());
+        }
+        reader.enumeration("unit", organisation.unit);
+        reader.real("rate_per_s", organisation.ratePerSecond, kQuota);
+        reader.real("burst", organisation.burst, kQuota);
+        reader.real("default_tokens", organisation.defaultTokens, kQuota);
+        reader.finish();
+      };
+    aRoot.named("organisations", Presence::Optional, read);
+  }
+
   const ReadContext& mContext;
   const Json::Value& mRoot;
   ReadConfiguration mRead;
--- a/src/config/internal/references.cpp
+++ b/src/config/internal/references.cpp
@@ -42,6 +42,7 @@
       checkService({ "services", name }, service);
     }
     checkCallers();
+    checkOrganisations();
   }
 
 private:
@@ -181,6 +182,38 @@
     }
   }
 
+  void checkOrganisations()
+  {
+    std::map<std::string, std::string> holders; // by the hash of the key
+    for (const auto& [name, organisation] : mConfiguration.organisations) {
+      const KeyPath path{ "organisations", name };
+      for (const auto& hash : organisation.keysSha256) {
+        const auto [first, inserted] = holders.try_emplace(hash, name);
+        if (!inserted) {
+          mContext.error(memberOf(path, "keys_sha256"),
+                         "contains a key of " + inQuotes(first->second) +
+                           ", which would be accepted for neither");
+        }
+      }
+      checkQuota(path, organisation);
+    }
+    if (!mConfiguration.organisations.empty()) {
+      mContext.warning({ "organisations" },
+                       "is applied by the gateway only; routers accept callers as stated "
+                       "in callers");
+    }
+  }
+
+  void checkQuota(const KeyPath& aPath, const Organisation& aOrganisation)
+  {
+    const bool tokens = aOrganisation.unit == QuotaUnit::Tokens;
+    const double request = tokens ? std::max(1.0, aOrganisation.defaultTokens) : 1.0;
+    if (aOrganisation.ratePerSecond > 0 && aOrganisation.burst < request) {
+      mContext.error(memberOf(aPath, "burst"),
+                     "is below the cost of one request, which could never be served");
+    }
+  }
+
   const ReadContext& mContext;
   const Configuration& mConfiguration;
   bool mUpstreamsSound;
--- a/src/config/types/configuration.h
+++ b/src/config/types/configuration.h
@@ -25,6 +25,13 @@
   High
 };
 
+/// What the quota of an organisation counts.
+enum class QuotaUnit
+{
+  Requests,
+  Tokens // of the prompt, plus the maximum number to generate
+};
+
 /// Keeps an idle replica for a fixed time.
 struct FixedKeepAlive
 {
@@ -113,6 +120,17 @@
   std::string keySha256; // lower-case hexadecimal
 };
 
+/// Callers that share keys, a priority and a quota, for the gateway.
+struct Organisation
+{
+  std::vector<std::string> keysSha256; // lower-case hexadecimal
+  std::optional<Priority> priority;    // used instead of that of the deployment
+  QuotaUnit unit = QuotaUnit::Requests;
+  double ratePerSecond = 0; // 0: no limit
+  double burst = 0;
+  double defaultTokens = 0; // of a request that states no number of tokens
+};
+
 /// The configuration in force at one site: the base with that site's overlay applied.
 struct Configuration
 {
@@ -127,6 +145,7 @@
   std::map<std::string, Deployment> deployments;
   std::map<std::string, Service> services;
   std::map<std::string, Caller> callers;
+  std::map<std::string, Organisation> organisations;
 };
 
 /// A deployment in one version, the unit of placement and loading.
@@ -173,6 +192,15 @@
   } };
 };
 
+template<>
+struct EnumNames<config::QuotaUnit>
+{
+  static constexpr EnumTable<config::QuotaUnit, 2> kTable{ {
+    { config::QuotaUnit::Requests, "requests" },
+    { config::QuotaUnit::Tokens, "tokens" },
+  } };
+};
+
 template<>
 struct EnumNames<config::Priority>
 {
