--- a/src/gateway/internal/confirmationtask.cpp
+++ b/src/gateway/internal/confirmationtask.cpp
@@ -1,7 +1,5 @@
 #include "gateway/internal/confirmationtask.h"
 
-#include <array>
-
 namespace savoryrill::gateway {
 
 namespace {
