--- a/src/serving/internal/quotaissuer.cpp
+++ b/src/serving/internal/quotaissuer.cpp
@@ -30,16 +30,17 @@
 }
 
 double
-QuotaIssuer::capacity(const Quota& aQuota)
+QuotaIssuer::capacity(const Quota& aQuota) const
 {
-  return aQuota.burst + debt(aQuota);
+  return aQuota.burst * mShare + debt(aQuota);
 }
 
 double
-QuotaIssuer::mostForOneRequest(const Quota& aQuota)
+QuotaIssuer::mostForOneRequest(const Quota& aQuota) const
 {
   // A dearer request exceeds the quota of a window alone.
-  return std::max(capacity(aQuota), aQuota.perSecond * toSeconds(kWindow) + aQuota.burst);
+  return std::max(capacity(aQuota),
+                  (aQuota.perSecond * toSeconds(kWindow) + aQuota.burst) * mShare);
 }
 
 void
@@ -54,7 +55,7 @@
     auto& bucket = found->second;
     bucket.quota = quota;
     bucket.spare = 0;
-    bucket.level = std::min(bucket.level, capacity(quota));
+    bucket.level = std::min(bucket.level, quota.burst + debt(quota));
     if (added) {
       bucket.refilled = mIssuedSeconds;
     }
@@ -140,9 +141,10 @@
   aBucket.refilled = mIssuedSeconds;
   // What may still be spent or returned counts as held. A burst that is shorter than the
   // time of a return must not lower the rate, so the part of the debt always refills.
-  const double allowed = quota.perSecond * toSeconds(kUnsettledTime);
+  const double allowed = quota.perSecond * mShare * toSeconds(kUnsettledTime);
   const double limit = std::clamp(
     capacity(quota) + allowed - aBucket.unsettled, debt(quota), capacity(quota));
+  aBucket.level = std::min(aBucket.level, capacity(quota)); // the share may have shrunk
   const double accepted = std::clamp(limit - aBucket.level, 0.0, added);
   aBucket.level += accepted;
   aBucket.spare = aBucket.unsettled > 0
@@ -152,7 +154,7 @@
 }
 
 double
-QuotaIssuer::affordable(const Bucket& aBucket, const QuotaRequest& aRequest)
+QuotaIssuer::affordable(const Bucket& aBucket, const QuotaRequest& aRequest) const
 {
   const double level = aBucket.level;
   if (level >= aRequest.waiting) {
@@ -188,20 +190,19 @@
 }
 
 Duration
-QuotaIssuer::roomIn(const Bucket& aBucket, double aAmount, double aShare)
+QuotaIssuer::roomIn(const Bucket& aBucket, double aAmount) const
 {
   const auto& quota = aBucket.quota;
   if (aAmount > mostForOneRequest(quota)) {
     return kWindow;
   }
   const double spare = aAmount > capacity(quota) ? aBucket.spare : 0;
-  return timeFor(aAmount - aBucket.level - spare, quota.perSecond * aShare);
+  return timeFor(aAmount - aBucket.level - spare, quota.perSecond * mShare);
 }
 
 void
 QuotaIssuer::issueFrom(const std::string& aOrganisation,
                        Bucket& aBucket,
-                       double aShare,
                        Instant aNow,
                        Issued& aIssued)
 {
@@ -215,7 +216,7 @@
       take(aBucket, item, amount, aNow, aIssued);
       continue;
     }
-    const Duration room_in = roomIn(aBucket, before + request.first, aShare);
+    const Duration room_in = roomIn(aBucket, before + request.first);
     if (request.waiting <= 0 || aNow + room_in > item.at + kMaxWait) {
       aIssued.denials.push_back(
         { item.host, { aOrganisation, room_in, request.number } });
@@ -224,7 +225,7 @@
     if (!aIssued.again || room_in < *aIssued.again) {
       aIssued.again = room_in;
     }
-    before += request.waiting;
+    before += request.first; // gets what is there then, and asks again for its others
     pending.push_back(std::move(item));
   }
   aBucket.pending = std::move(pending);
@@ -234,14 +235,15 @@
 QuotaIssuer::issue(double aShare, Instant aNow)
 {
   restartAfterPause(aNow);
-  mIssuedSeconds += aShare * toSeconds(aNow - *mLastIssue);
+  mShare = aShare;
+  mIssuedSeconds += mShare * toSeconds(aNow - *mLastIssue);
   mLastIssue = aNow;
   Issued issued;
   issued.grants = std::move(mUnlimited);
   mUnlimited.clear();
   std::erase_if(mWithPending, [&](const std::string& aName) {
     auto& bucket = mBuckets.at(aName);
-    issueFrom(aName, bucket, aShare, aNow, issued);
+    issueFrom(aName, bucket, aNow, issued);
     return bucket.pending.empty();
   });
   return issued;
--- a/src/serving/internal/quotaledger.cpp
+++ b/src/serving/internal/quotaledger.cpp
@@ -70,27 +70,10 @@
   mIssuer = aIssuer;
   mIssuerLost = lost ? aNow : std::optional<Instant>();
   mUnansweredSince.reset();
-  // The former issuer's answers may not arrive any more. Without an issuer, requests that
-  // wait are decided at once.
-  std::set<std::string> organisations;
+  // The former issuer's answers may not arrive any more.
   for (const auto& [id, organisation] : mWaiting) {
-    organisations.insert(organisation);
-  }
-  for (const auto& organisation : organisations) {
-    auto& account = mAccounts.at(organisation);
-    account.requested.reset();
+    mAccounts.at(organisation).requested.reset();
     mToRequest.insert(organisation);
-    for (auto& item : account.waiting) {
-      if (lost) {
-        mDeadlines.erase({ item.until, item.id });
-        item.until = aNow;
-        mDeadlines.insert({ aNow, item.id });
-      }
-    }
-  }
-  if (lost) {
-    mToRequest.clear();
-    expire(aNow);
   }
 }
 
@@ -261,10 +244,10 @@
   if (const auto charge = spendOwn(aOrganisation, *account, aCost, aNow)) {
     return *charge;
   }
-  if (mIssuer.empty()) {
+  if (mIssuer.empty() && mIssuerLost && aNow - *mIssuerLost >= kNextIssuerTime) {
     return QuotaDenial{ aOrganisation, ownRoomIn(*account), 0 };
   }
-  if (aCost >= account->deniedCost &&
+  if (!mIssuer.empty() && aCost >= account->deniedCost &&
       aNow + QuotaIssuer::kMaxWait < account->deniedUntil) {
     // The issuer would deny it.
     return QuotaDenial{ aOrganisation, account->deniedUntil - aNow, 0 };
--- a/src/serving/internal/quotashare.cpp
+++ b/src/serving/internal/quotashare.cpp
@@ -22,6 +22,7 @@
   if (aLeading != mLeading) {
     mLeading = aLeading;
     mLeadingChanged = aNow;
+    mFirstLed = mFirstLed.value_or(aNow);
     mMissingSince.reset();
   }
 }
@@ -29,10 +30,9 @@
 double
 QuotaShare::of(std::uint32_t aServed, Instant aNow)
 {
-  const bool settled =
-    mStated || (mLeadingChanged && aNow - *mLeadingChanged >= kSettlingTime);
+  const bool known = mStated || (mFirstLed && aNow - *mFirstLed >= kMemory);
   const std::uint32_t all =
-    std::max({ 1U, aServed, settled ? mCount : QuotaLedger::kUnknownHostCount });
+    std::max({ 1U, aServed, mCount, known ? 0 : QuotaLedger::kUnknownHostCount });
   const double served = static_cast<double>(aServed) / all;
   if (!mLeading) {
     const bool lately = mLeadingChanged && aNow - *mLeadingChanged < kFormerLeaderTime;
@@ -43,7 +43,7 @@
     return 1;
   }
   mMissingSince = mMissingSince.value_or(aNow);
-  if (aNow - *mMissingSince < kMissingTime) {
+  if (aNow - *mMissingSince < (known ? kMissingTime : kSettlingTime)) {
     return served;
   }
   return 1 - (1 - served) * QuotaLedger::kUsedShare;
--- a/src/serving/quotaissuer.h
+++ b/src/serving/quotaissuer.h
@@ -82,8 +82,8 @@
     std::optional<Duration> again; // when to issue for what is still pending
   };
   /// Answers the requests for which that is possible. `aShare`, from 0 to 1, is the part
-  /// of the rates that this host may issue. Call it after requests, and at least every
-  /// `kMaxPause` while this host issues.
+  /// of the rates and bursts that this host may issue. Call it after requests, and at
+  /// least every `kMaxPause` while this host issues.
   Issued issue(double aShare, Instant aNow);
 
 private:
@@ -110,12 +110,12 @@
     std::deque<Pending> pending;
   };
   static double debt(const Quota& aQuota);
-  static double capacity(const Quota& aQuota);
-  static double mostForOneRequest(const Quota& aQuota);
+  double capacity(const Quota& aQuota) const;
+  double mostForOneRequest(const Quota& aQuota) const;
   void restartAfterPause(Instant aNow);
   void refill(Bucket& aBucket, Instant aNow) const;
-  static double affordable(const Bucket& aBucket, const QuotaRequest& aRequest);
-  static Duration roomIn(const Bucket& aBucket, double aAmount, double aShare);
+  double affordable(const Bucket& aBucket, const QuotaRequest& aRequest) const;
+  Duration roomIn(const Bucket& aBucket, double aAmount) const;
   void take(Bucket& aBucket,
             const Pending& aPending,
             double aAmount,
@@ -123,7 +123,6 @@
             Issued& aIssued);
   void issueFrom(const std::string& aOrganisation,
                  Bucket& aBucket,
-                 double aShare,
                  Instant aNow,
                  Issued& aIssued);
 
@@ -132,6 +131,7 @@
   std::vector<HostGrant> mUnlimited;  // for organisations that have no limit here
   std::uint64_t mLastNumber;          // of a grant
   double mIssuedSeconds = 0;          // sum of time times share
+  double mShare = 1;
   std::optional<Instant> mLastIssue;
 };
 
--- a/src/serving/quotaledger.h
+++ b/src/serving/quotaledger.h
@@ -41,6 +41,10 @@
   static constexpr double kUsedShare = 0.5;
   /// Hosts assumed to share the quotas until a leader has stated the number.
   static constexpr std::uint32_t kUnknownHostCount = 100;
+  /// Time for which a host without an issuer expects the next one: a change of leader
+  /// takes less. Until then, requests that the host's own share does not cover wait for
+  /// as long as they may; later they are denied at once.
+  static constexpr Duration kNextIssuerTime = 4s;
 
   /// `aPhase`, from 0 to 1, differs between hosts, so that those without an issuer do not
   /// all spend their first request at the same time. `aFirstNumber` is random, so that
--- a/src/serving/quotashare.h
+++ b/src/serving/quotashare.h
@@ -24,7 +24,10 @@
   /// Time for which a former leader, which cannot reach the store, issues the whole share
   /// of the hosts that are connected to it. Less than `kMissingTime`.
   static constexpr Duration kFormerLeaderTime = 25s;
-  /// Time after which the hosts that a new leader can reach have connected to it.
+  /// Time after which the hosts that a new leader can reach have connected to it, if no
+  /// earlier leader has stated their number. It goes on assuming
+  /// `QuotaLedger::kUnknownHostCount` hosts for `kMemory`, since those that it has not
+  /// seen may run and use a share of their own.
   static constexpr Duration kSettlingTime = 3s;
 
   /// Records how many hosts exchange demand at this moment. `aStated`: another host that
@@ -46,6 +49,7 @@
   bool mStated = false;
   bool mLeading = false;
   std::optional<Instant> mLeadingChanged;
+  std::optional<Instant> mFirstLed;
   std::optional<Instant> mMissingSince; // some of the hosts
 };
 
