--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -54,6 +54,41 @@
   CHECK_TRUE(config::hasErrors(config::checkGatewaySettings("s", text).findings));
 }
 
+TEST(GatewaySettings, KeyConfirmation_ReadOrReported)
+{
+  CHECK_TRUE(config::checkGatewaySettings("s", whole).settings.keyConfirmationTime ==
+             Duration::zero());
+  auto text = whole;
+  text.insert(text.rfind('}'), R"(, "key_confirmation_ms": 5000)");
+  const auto checked = config::checkGatewaySettings("s", text);
+  LONGS_EQUAL(0, checked.findings.size());
+  CHECK_TRUE(checked.settings.keyConfirmationTime == 5s);
+  text.replace(text.find("5000"), 4, "-1");
+  CHECK_TRUE(mentions(config::checkGatewaySettings("s", text), "key_confirmation_ms"));
+}
+
+// Guards against budgets that do not fit the smallest hosts: 120 MB and 3,075
+// descriptors.
+TEST(GatewaySettings, SizesOfHost_BudgetsFollowUnlessStated)
+{
+  const auto with = [this](const std::string& aKeys) {
+    auto text = whole;
+    return config::checkGatewaySettings("s", text.insert(text.find('{') + 1, aKeys));
+  };
+  LONGS_EQUAL(48, with("").settings.connectionMemoryMb);
+  LONGS_EQUAL(1500, with("").settings.maxConnections);
+  const auto small = with(R"("host_memory_mb": 120, "max_descriptors": 3075,)");
+  LONGS_EQUAL(0, small.findings.size());
+  LONGS_EQUAL(48, small.settings.connectionMemoryMb);
+  LONGS_EQUAL(1509, small.settings.maxConnections);
+  const auto stated = with(R"("host_memory_mb": 512, "max_descriptors": 3075,
+                              "connection_memory_mb": 16, "max_connections": 128,)");
+  LONGS_EQUAL(16, stated.settings.connectionMemoryMb);
+  LONGS_EQUAL(128, stated.settings.maxConnections);
+  CHECK_TRUE(mentions(with(R"("connection_memory_mb": 7,)"), "connection_memory_mb"));
+  CHECK_TRUE(mentions(with(R"("max_descriptors": 100,)"), "max_descriptors"));
+}
+
 TEST(GatewaySettings, LinkBandwidthAndLeaveNotice_ReadOrReported)
 {
   auto text = whole;
@@ -67,6 +102,24 @@
   CHECK_TRUE(mentions(config::checkGatewaySettings("s", text), "link_mbps"));
 }
 
+// Guards against a bound that each change of the leader exceeds, without a finding.
+TEST(GatewaySettings, KeyConfirmationTime_ReadOrReported)
+{
+  const auto with = [&](const std::string& aValue) {
+    auto text = whole;
+    text.insert(text.find('{') + 1, "\"key_confirmation_ms\": " + aValue + ",");
+    return config::checkGatewaySettings("s", text);
+  };
+  const auto none = config::checkGatewaySettings("s", whole);
+  CHECK_TRUE(none.settings.keyConfirmationTime == Duration::zero());
+  const auto usual = with("5000");
+  CHECK_TRUE(usual.settings.keyConfirmationTime == 5s);
+  LONGS_EQUAL(0, usual.findings.size());
+  CHECK_TRUE(mentions(with("2000"), "key_confirmation_ms"));
+  CHECK_FALSE(config::hasErrors(with("2000").findings));
+  CHECK_TRUE(config::hasErrors(with("-1").findings));
+}
+
 TEST(GatewaySettings, FileIsMissing_NotFound)
 {
   const auto read = config::readGatewaySettings("/nonexistent/settings.jsonc");
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "base/types/baseevents.h"
+#include "gateway/internal/confirmationtask.h"
 #include "gateway/internal/leadertask.h"
 #include "gateway/internal/quarantinetask.h"
 #include "gateway/internal/quotaexchange.h"
@@ -11,6 +12,8 @@
 #include "gateway/internal/statusserver.h"
 #include "gateway/internal/tablefollower.h"
 #include "gateway/types/gatewayevents.h"
+#include "link/listener.h"
+#include "serving/configconfirmation.h"
 #include "serving/upstreamlistchanges.h"
 
 namespace savoryrill::gateway {
@@ -43,6 +46,9 @@
 constexpr Duration kBalancerDelay = 2500ms;
 // Time before the drain limit that is left for the last responses.
 constexpr Duration kDrainEndMargin = 500ms;
+// Time between two log lines about memory that had to be given up.
+constexpr Duration kShortageLogPause = 10s;
+constexpr std::size_t kBytesPerMb = 1024UL * 1024;
 
 class GatewayImpl final : public Gateway
 {
@@ -50,6 +56,8 @@
   GatewayImpl(Dependencies aDependencies, config::GatewaySettings aSettings)
     : mDependencies(std::move(aDependencies))
     , mSettings(std::move(aSettings))
+    , mBudget(mSettings.connectionMemoryMb * kBytesPerMb)
+    , mRelieveCall(mDependencies.loop, [this] { relieveMemory(); })
     , mSelector(mSettings.dataCentre, mDependencies.seed)
     , mPool(mDependencies.loop, {})
     , mControlClient(mDependencies.loop, mPool)
@@ -58,6 +66,8 @@
                     mDependencies.metrics,
                     mDependencies.store },
                   mDependencies.seed)
+    , mOrganisationMetrics(mDependencies.metrics)
+    , mConfirmation(mSettings.keyConfirmationTime)
     , mQuotas({ mDependencies.loop, mDependencies.log, mDependencies.metrics },
               mSettings.host,
               mDependencies.seed)
@@ -67,10 +77,13 @@
                    mDependencies.requestProtocol,
                    mSelector,
                    mQuarantine,
-                   mPool },
+                   mPool,
+                   mConfirmation,
+                   mOrganisationMetrics },
                  schedulerOptions(mSettings),
                  mDependencies.seed)
   {
+    mScheduler.setQuotas(&mQuotas);
   }
 
   Result<void> start();
@@ -96,10 +109,12 @@
   Result<void> startServers();
   void startFollowers();
   void applyConfigRows(const RowSet& aRows);
+  void recordUnusableConfig(const StoredRow& aRow, const Error& aError);
   void applyUpstreamRows(const RowSet& aRows, bool aAllRows);
   void applyListUpdate(const serving::UpstreamListUpdate& aUpdate, Instant aAsOf);
   void onUpstreamsChanged(const std::vector<serving::DirectoryChange>& aChanges);
   void onUpstreamReadStarted();
+  void onConfigReadConfirmed(Instant aStarted);
   void readNewerConfig(std::uint64_t aVersion);
   void onLeadershipChanged(bool aLeads);
   Duration ownUpstreamReadPause() const;
@@ -110,29 +125,44 @@
   void sendWaiting();
   std::string readinessProblem() const;
   void logReadiness();
+  /// True if requests with keys are refused since the configuration may be outdated.
+  bool refusesKeys() const;
+  void logConfirmation();
   void tick();
   void continueDrain();
   std::string renderMetrics();
+  void renderConnectionMetrics();
+  /// Ends requests until the memory that is held for connections is within its limit.
+  void relieveMemory();
 
   Dependencies mDependencies;
   config::GatewaySettings mSettings;
+  link::MemoryBudget mBudget;
+  event::DeferredCall mRelieveCall;
+  std::uint64_t mEvictionsLogged = 0;
+  std::optional<Instant> mShortageLogged;
   UpstreamSelector mSelector;
   link::OutboundPool mPool;
   link::RequestClient mControlClient;
   QuarantineTask mQuarantine;
+  OrganisationMetrics mOrganisationMetrics;
+  serving::ConfigConfirmation mConfirmation;
   QuotaExchange mQuotas; // requests hold handles of it
   RequestScheduler mScheduler;
   std::unique_ptr<link::Listener> mCallerListener;
   std::unique_ptr<StatusServer> mReadinessServer;
   std::unique_ptr<StatusServer> mMetricsServer;
   std::unique_ptr<TableFollower> mConfigFollower;
+  std::unique_ptr<ConfirmationTask> mConfirmationTask;
   std::unique_ptr<TableFollower> mUpstreamFollower;
   std::unique_ptr<LeaderTask> mLeader;
   std::uint64_t mConfigVersion = 0;
+  std::uint64_t mUnusableConfigRow = 0;    // version of the latest one that was logged
   std::optional<Instant> mNewerConfigRead; // for a version that the leader reported
   serving::UpstreamListChanges mUpstreamListChanges;
   bool mLeading = false;
   bool mUpstreamsKnown = false;
+  bool mKeysRefused = false; // as logged
   std::string mReadinessLogged = "unknown";
   std::uint64_t mIgnoredRows = 0;
   event::Watch mTick;
@@ -158,6 +188,9 @@
   handlers.onConfigVersionReceived = [this](std::uint64_t aVersion) {
     readNewerConfig(aVersion);
   };
+  handlers.onConfigConfirmed = [this](std::uint64_t aVersion, Instant aAsOf) {
+    mConfirmationTask->confirmedByLeader(aVersion, aAsOf);
+  };
   handlers.onUpstreamListReceived = [this](const serving::UpstreamListUpdate& aUpdate,
                                            Instant aAsOf) {
     applyListUpdate(aUpdate, aAsOf);
@@ -206,10 +239,13 @@
 Result<void>
 GatewayImpl::startServers()
 {
-  BOOST_OUTCOME_TRY(
-    callers,
-    link::Listener::create(
-      mDependencies.loop, mSettings.callerAddress, mScheduler, mSettings.maxConnections));
+  BOOST_OUTCOME_TRY(callers,
+                    link::Listener::create(mDependencies.loop,
+                                           mSettings.callerAddress,
+                                           mScheduler,
+                                           mSettings.maxConnections,
+                                           &mBudget));
+  mBudget.onShortage([this] { mRelieveCall.request(); });
   mCallerListener = std::move(callers);
   BOOST_OUTCOME_TRY(readiness,
                     StatusServer::create(mDependencies.loop,
@@ -249,7 +285,13 @@
     mDependencies.log,
     mDependencies.metrics,
     config,
-    TableFollower::Handlers{ config_read, config_read, {} });
+    TableFollower::Handlers{
+      config_read,
+      config_read,
+      [this] { mLeader->onConfigReadStarted(); },
+      [this](Instant aStarted) { onConfigReadConfirmed(aStarted); } });
+  mConfirmationTask = std::make_unique<ConfirmationTask>(ConfirmationTask::Dependencies{
+    mDependencies.loop, mDependencies.metrics, *mConfigFollower, mConfirmation });
   TableFollower::Options upstreams;
   upstreams.table = mDependencies.recordFormat.upstreamTable();
   upstreams.pause = ownUpstreamReadPause();
@@ -262,7 +304,8 @@
     TableFollower::Handlers{
       [this](const RowSet& aRows) { applyUpstreamRows(aRows, true); },
       [this](const RowSet& aRows) { applyUpstreamRows(aRows, false); },
-      [this] { onUpstreamReadStarted(); } });
+      [this] { onUpstreamReadStarted(); },
+      {} });
   // A long-polling read that has hung since an outage would delay changes by its whole
   // wait.
   mUpstreamFollower->setRecoveryCallback([this] { mConfigFollower->readNow(); });
@@ -279,11 +322,10 @@
     }
     auto config = mDependencies.recordFormat.readConfig(row.value);
     if (!config) {
-      mDependencies.log.write(
-        kConfigUnusable,
-        { { "row_version", row.version }, { "reason", config.error().message } });
+      recordUnusableConfig(row, config.error());
       continue;
     }
+    mConfirmationTask->setNewestUsable(true);
     if (config.value().version <= mConfigVersion) {
       continue; // versions only increase
     }
@@ -295,16 +337,41 @@
       { { "version", mConfigVersion },
         { "row_version", row.version },
         { "routes", std::uint64_t{ config.value().routes.size() } } });
+    for (const auto& finding : config.value().findings) {
+      mDependencies.log.write(kConfigFinding,
+                              { { "version", mConfigVersion }, { "finding", finding } });
+    }
     const auto table = serving::RouteTable::create(std::move(config.value()));
-    mScheduler.setRoutes(table);
-    mLeader->setConfig(table->config());
     const auto& organisations = table->config().organisations;
     mQuotas.setQuotas(organisations ? organisations->organisations()
                                     : std::map<std::string, serving::Organisation>{});
+    mScheduler.setRoutes(table);
+    mLeader->setConfig(table->config());
+    mConfirmation.configApplied(mConfigVersion);
+    mConfirmationTask->configApplied(table->config());
+    logConfirmation();
     logReadiness();
   }
 }
 
+void
+GatewayImpl::recordUnusableConfig(const StoredRow& aRow, const Error& aError)
+{
+  mConfirmationTask->setNewestUsable(false);
+  if (aRow.version != std::exchange(mUnusableConfigRow, aRow.version)) {
+    mDependencies.log.write(
+      kConfigUnusable, { { "row_version", aRow.version }, { "reason", aError.message } });
+  }
+}
+
+void
+GatewayImpl::onConfigReadConfirmed(Instant aStarted)
+{
+  if (mConfirmationTask->readSucceeded(mConfigVersion, aStarted)) {
+    mLeader->confirmConfig(mConfigVersion);
+  }
+}
+
 std::optional<serving::UpstreamEntry>
 GatewayImpl::decodeUpstream(const StoredRow& aRow)
 {
@@ -340,6 +407,9 @@
   if (aLeads) {
     // The known list may come from another leader, without the models that engines hold.
     mUpstreamFollower->readNow();
+  }
+  mConfirmationTask->setLeading(aLeads);
+  if (aLeads && !mConfirmationTask->active()) {
     // No other host tells the leader of newer versions, so it cannot wait for as long as
     // in its read as a follower, which may hang.
     mConfigFollower->setWait(kConfigWait);
@@ -354,6 +424,9 @@
     mLeader->onUpstreamListReadStarted();
     return;
   }
+  if (mConfirmationTask->active()) {
+    return; // the leader's confirmations show whether the configuration is read
+  }
   // The leader has sent no list for a while, so its status cannot show that the
   // configuration read hangs.
   mConfigFollower->setWait(kConfigWait);
@@ -418,7 +491,9 @@
   mSelector.directory().readSucceeded(now);
   mUpstreamFollower->confirm(aUpdate.version, aAsOf);
   mDependencies.metrics.add("savoryrill_gateway_list_told_total");
-  mConfigFollower->setWait(kConfigWaitWithLeader);
+  if (!mConfirmationTask->active()) {
+    mConfigFollower->setWait(kConfigWaitWithLeader);
+  }
   if (!changes.empty()) {
     onUpstreamsChanged(changes);
   }
@@ -478,6 +553,9 @@
   if (!mScheduler.hasRoutes()) {
     return "no configuration";
   }
+  if (refusesKeys()) {
+    return "configuration not confirmed";
+  }
   return mUpstreamsKnown ? "" : "no list of upstreams";
 }
 
@@ -493,12 +571,38 @@
   }
 }
 
+bool
+GatewayImpl::refusesKeys() const
+{
+  return mScheduler.hasOrganisations() && !mConfirmation.valid(mDependencies.loop.now());
+}
+
+void
+GatewayImpl::logConfirmation()
+{
+  const bool refuses = refusesKeys();
+  if (refuses == mKeysRefused) {
+    return;
+  }
+  mKeysRefused = refuses;
+  if (refuses) {
+    const auto age = mConfirmation.age(mDependencies.loop.now());
+    mDependencies.metrics.add("savoryrill_gateway_config_unconfirmed_total");
+    mDependencies.log.write(kConfigUnconfirmed, { { "age_ms", age ? toMs(*age) : -1 } });
+  } else {
+    mDependencies.log.write(kConfigConfirmed);
+  }
+  logReadiness();
+}
+
 void
 GatewayImpl::tick()
 {
+  logConfirmation();
   std::vector<serving::DirectoryChange> changes;
   mSelector.directory().expire(mDependencies.loop.now(), changes);
   applyChanges(changes);
+  mConfirmationTask->tick();
   sendWaiting();
   if (mDrainStarted) {
     continueDrain();
@@ -542,9 +646,51 @@
   }
 }
 
+void
+GatewayImpl::relieveMemory()
+{
+  const auto now = mDependencies.loop.now();
+  while (mBudget.exceeded() && mBudget.evictOne(false, now)) {
+  }
+  if (mBudget.evicted() == mEvictionsLogged ||
+      (mShortageLogged && now - *mShortageLogged < kShortageLogPause)) {
+    return;
+  }
+  mDependencies.log.write(
+    kMemoryShort,
+    { { "given_up", mBudget.evicted() - mEvictionsLogged },
+      { "held_bytes", std::uint64_t{ mBudget.bytes() } },
+      { "limit_bytes", std::uint64_t{ mBudget.limit() } },
+      { "connections", std::uint64_t{ mCallerListener->connections() } } });
+  mShortageLogged = now;
+  mEvictionsLogged = mBudget.evicted();
+}
+
+void
+GatewayImpl::renderConnectionMetrics()
+{
+  auto& metrics = mDependencies.metrics;
+  for (const auto& [kind, name] : EnumNames<link::MemoryKind>::kTable) {
+    metrics.set("savoryrill_gateway_connection_bytes{kind=\"" + std::string(name) + "\"}",
+                static_cast<double>(mBudget.bytes(kind)));
+  }
+  metrics.set("savoryrill_gateway_connection_bytes_limit",
+              static_cast<double>(mBudget.limit()));
+  metrics.set("savoryrill_gateway_memory_evictions",
+              static_cast<double>(mBudget.evicted()));
+  metrics.set("savoryrill_gateway_descriptors{kind=\"callers\"}",
+              static_cast<double>(mCallerListener->connections()));
+  metrics.set("savoryrill_gateway_descriptors{kind=\"upstreams\"}",
+              static_cast<double>(mPool.open()));
+  metrics.set("savoryrill_gateway_descriptors{kind=\"status\"}",
+              static_cast<double>(mReadinessServer->connections() +
+                                  (mMetricsServer ? mMetricsServer->connections() : 0)));
+}
+
 std::string
 GatewayImpl::renderMetrics()
 {
+  renderConnectionMetrics();
   auto& metrics = mDependencies.metrics;
   metrics.set("savoryrill_gateway_active_requests",
               static_cast<double>(mScheduler.active()));
@@ -555,6 +701,11 @@
   metrics.set("savoryrill_gateway_upstream_connections_opened",
               static_cast<double>(mPool.opened()));
   metrics.set("savoryrill_gateway_ready", ready() ? 1 : 0);
+  metrics.set("savoryrill_gateway_config_unconfirmed", refusesKeys() ? 1 : 0);
+  if (const auto age = mConfirmation.age(mDependencies.loop.now())) {
+    metrics.set("savoryrill_gateway_config_confirmation_age_ms",
+                static_cast<double>(toMs(*age)));
+  }
   metrics.set("savoryrill_gateway_upstreams",
               static_cast<double>(mSelector.directory().entries().size()));
   return metrics.renderPrometheus();
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -62,7 +62,7 @@
   const std::shared_ptr<link::InboundConnection>& aConnection,
   link::RequestMessage aRequest)
 {
-  const auto details = mContext.protocol.readRequest(aRequest);
+  auto details = mContext.protocol.readRequest(aRequest);
   if (!mRoutes) {
     refuseOnArrival(aConnection,
                     details ? details.value().id : "",
@@ -90,6 +90,16 @@
     refuseOnArrival(aConnection, "", aRequest.target, RefusalReason::BadRequest);
     return;
   }
+  serving::CallerAuthentication authentication(
+    route->needsKey, std::exchange(details.value().key, std::string()));
+  if (organisations()) {
+    mContext.protocol.eraseKey(aRequest);
+  }
+  const bool confirmed = mContext.confirmation.valid(mContext.loop.now());
+  if (const auto problem = authentication.check(organisations(), confirmed)) {
+    refuseOnArrival(aConnection, details.value().id, aRequest.target, *problem);
+    return;
+  }
   const double random = std::uniform_real_distribution<double>(0, 1)(mRandom);
   const auto& group = serving::RouteTable::chooseGroup(*route, random);
   budgetOf(group).requestArrived();
@@ -100,7 +110,8 @@
                                                static_cast<IRequestOwner&>(*this),
                                                aConnection,
                                                std::move(aRequest),
-                                               details.value(),
+                                               std::move(details.value()),
+                                               std::move(authentication),
                                                mRoutes,
                                                *route,
                                                group);
@@ -112,10 +123,20 @@
 RequestScheduler::requestRejected(int aStatus, std::string_view aReason)
 {
   mContext.metrics.add("savoryrill_gateway_rejected_callers_total");
+  if (aStatus == 503) {
+    return; // the lack of memory is logged once for all, see `kMemoryShort`
+  }
   mContext.log.write(kCallerRejected,
                      { { "status", std::int64_t{ aStatus } }, { "reason", aReason } });
 }
 
+void
+RequestScheduler::connectionClosed(link::CloseReason aReason)
+{
+  mContext.metrics.add("savoryrill_gateway_connections_closed_total{reason=\"" +
+                       std::string(nameOf(aReason)) + "\"}");
+}
+
 void
 RequestScheduler::refuseOnArrival(
   const std::shared_ptr<link::InboundConnection>& aConnection,
@@ -162,8 +183,8 @@
 RequestScheduler::refuseNew()
 {
   mRefusesNew = true;
-  const auto waiting = mWaiting;
-  for (const auto& request : waiting) {
+  const auto requests = mRequests;
+  for (const auto& request : requests) {
     request->refuseIfWaiting(RefusalReason::Stopping);
   }
 }
@@ -239,7 +260,7 @@
   mArrivals.clear();
   mFinished.clear();
   for (const auto& request : mRequests) {
-    if (request->model().model.empty()) {
+    if (request->model().model.empty() || request->isAwaitingQuota()) {
       continue;
     }
     auto& item = items[request->model()];
--- a/src/gateway/internal/requestscheduler.h
+++ b/src/gateway/internal/requestscheduler.h
@@ -37,7 +37,10 @@
 
   void setOptions(Options aOptions);
   void setRoutes(std::shared_ptr<const serving::RouteTable> aRoutes);
+  bool hasOrganisations() const { return organisations() != nullptr; }
   bool hasRoutes() const { return mRoutes != nullptr; }
+  /// `aQuotas` outlives the requests; null: no organisation has a limit.
+  void setQuotas(IQuotas* aQuotas) { mContext.quotas = aQuotas; }
   void setHostCount(std::uint32_t aHostCount);
   /// Closes each inbound connection after its response from now on.
   void startDraining() { mDraining = true; }
@@ -77,6 +80,7 @@
   void requestRejected(int aStatus, std::string_view aReason) override;
   const link::InboundLimits& limits() const override { return mLimits; }
   bool closesConnections() const override { return mDraining; }
+  void connectionClosed(link::CloseReason aReason) override;
 
   void onRequestWaiting(RequestTask& aRequest) override;
   void onSlotFreed() override;
@@ -84,6 +88,10 @@
   void onUpstreamLeaving(const std::string& aUpstream, std::int64_t aBornMs) override;
   bool takeRetry(const std::string& aGroup) override;
   std::uint32_t hostCount() const override { return mHostCount; }
+  serving::CallerAuthentication::Directory organisations() const override
+  {
+    return mRoutes ? mRoutes->config().organisations : nullptr;
+  }
 
   void refuseOnArrival(const std::shared_ptr<link::InboundConnection>& aConnection,
                        const std::string& aRequestId,
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -4,23 +4,25 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <random>
-#include <set>
 #include <string>
 
 #include "base/eventlog.h"
 #include "base/metrics.h"
 #include "event/loop.h"
+#include "gateway/internal/attempt.h"
 #include "gateway/internal/eventstream.h"
+#include "gateway/internal/organisationmetrics.h"
 #include "gateway/internal/quarantinetask.h"
 #include "gateway/internal/refusal.h"
+#include "gateway/internal/requeststate.h"
 #include "gateway/internal/streamtimes.h"
 #include "gateway/iprotocol.h"
-#include "gateway/types/responseprogress.h"
 #include "gateway/upstreamselector.h"
 #include "link/inboundconnection.h"
 #include "link/outboundconnection.h"
 #include "routing/retrybudget.h"
+#include "serving/callerauthentication.h"
+#include "serving/configconfirmation.h"
 #include "serving/routetable.h"
 #include "serving/types/requestdetails.h"
 
@@ -38,6 +40,9 @@
   UpstreamSelector& selector;
   QuarantineTask& quarantine;
   link::OutboundPool& pool;
+  const serving::ConfigConfirmation& confirmation;
+  OrganisationMetrics& organisationMetrics;
+  IQuotas* quotas = nullptr; // null: no organisation has a limit
 };
 
 /// Owner of the requests. Requests notify it of changes that concern other requests.
@@ -55,14 +60,16 @@
   /// Takes one retry from this host's part of the budget that all hosts share; false if
   /// none is left.
   virtual bool takeRetry(const std::string& aGroup) = 0;
+  /// Of the configuration in force; null if it names no organisations.
+  virtual serving::CallerAuthentication::Directory organisations() const = 0;
   /// Number of hosts that share the connections of an upstream.
   virtual std::uint32_t hostCount() const = 0;
 };
 
 /// One request of a caller from its arrival to its final response. Sends it to one
 /// upstream at a time. A request that is not safe to retry is sent again only if no byte
-/// of it left this host or the upstream stated that it did not execute it. Not thread
-/// safe.
+/// of it left this host or the upstream stated that it did not execute it. Before each
+/// attempt, its key is checked against the configuration then in force. Not thread safe.
 class RequestTask
   : public std::enable_shared_from_this<RequestTask>
   , private link::IExchangeHandler
@@ -73,6 +80,7 @@
               std::shared_ptr<link::InboundConnection> aCaller,
               link::RequestMessage aRequest,
               serving::RequestDetails aDetails,
+              serving::CallerAuthentication aAuthentication,
               std::shared_ptr<const serving::RouteTable> aRoutes,
               const serving::Route& aRoute,
               std::string aGroup);
@@ -85,20 +93,28 @@
   /// time any more.
   void sendIfPossible();
 
-  /// Refuses the request if it is waiting.
+  /// Refuses the request if it is waiting, also for its quota.
   void refuseIfWaiting(serving::RefusalReason aReason);
 
   /// Ends the request in any state: with a refusal, which says if the request may have
   /// run, or by aborting a response that has begun.
   void terminate(serving::RefusalReason aReason);
 
-  bool isWaiting() const { return mState == State::Waiting; }
-  bool ended() const { return mState == State::Ended; }
+  /// True while it waits for an upstream or for its model.
+  bool isWaiting() const { return std::holds_alternative<WaitingForUpstream>(mState); }
+  bool isAwaitingQuota() const { return std::holds_alternative<AwaitingQuota>(mState); }
+  bool ended() const { return std::holds_alternative<Ended>(mState); }
   /// True if an upstream's response was forwarded completely.
   bool completed() const { return mCompleted; }
   const serving::ModelKey& model() const { return mDetails.model; }
   const std::string& group() const { return mGroup; }
-  std::uint32_t priority() const { return mRoute->priority; }
+  /// That of the organisation takes precedence over that of the route.
+  std::uint32_t priority() const
+  {
+    const auto* organisation = mAuthentication.organisation();
+    return organisation != nullptr ? organisation->priority.value_or(mRoute->priority)
+                                   : mRoute->priority;
+  }
   Instant arrived() const { return mArrived; }
   /// When the caller gives up if it receives nothing more until then. Callers disconnect
   /// after `callerTimeout` without an event of a stream.
@@ -112,14 +128,6 @@
   Instant objective() const { return mArrived + mRoute->objective; }
 
 private:
-  enum class State
-  {
-    Waiting,
-    AwaitingResponse,
-    Responding, // a part of the response has been forwarded
-    Ended
-  };
-
   bool matchesResponse(const link::ResponseHead& aHead) override;
   void responseStarted(const link::ResponseHead& aHead) override;
   void responseData(std::string_view aData) override;
@@ -133,7 +141,20 @@
   /// Expected time until the request could run, as reported by the leader; nullopt if
   /// unknown.
   std::optional<Duration> expectedDelay() const;
+  /// Charges the request to the quota of its organisation, then serves it.
+  void requestQuota();
+  void onQuotaOutcome(const QuotaOutcome& aOutcome);
+  /// Sends, queues or refuses a request within its quota.
+  void serve();
+  /// Gives the charge back if the request has not run.
+  void refundQuota();
   bool startAttempt();
+  /// Why the request must not be sent under the configuration now in force; nullopt if it
+  /// may be.
+  std::optional<serving::RefusalReason> authenticationProblem();
+  /// Refuses the request if it must not be sent under the configuration now in force;
+  /// true if so.
+  bool refuseUnauthenticated();
   /// Refuses the request if a part of its prompt is in quarantine; true if so.
   bool refuseQuarantined();
   /// Tells the quarantine that the upstream has dealt with the request without crashing.
@@ -152,8 +173,8 @@
   void forwardHead();
   void forwardEvents(std::string_view aData);
   void sendBufferedResponse();
+  void releaseBufferedBody();
   void releaseConnection(bool aCancel);
-  ResponseProgress progressOfAttempt() const;
   void recordBodyOfAttempt();
   void logAttemptFailure(std::string_view aReason);
   /// Ends the request with a refusal, or by aborting a response that has begun.
@@ -174,40 +195,23 @@
   std::shared_ptr<link::InboundConnection> mCaller;
   link::RequestMessage mRequest;
   serving::RequestDetails mDetails;
+  serving::CallerAuthentication mAuthentication;
   std::shared_ptr<const serving::RouteTable> mRoutes;
   const serving::Route* mRoute;
   std::string mGroup;
   Instant mArrived;
   Instant mDeadline;
-  State mState = State::Waiting;
+  RequestState mState;
   event::Watch mTimer;
 
-  std::shared_ptr<link::OutboundConnection> mConnection;
-  std::string mUpstream;
-  std::int64_t mUpstreamBornMs = 0; // tells incarnations of the same id apart
-  std::string mPoolKey;
-  bool mConnectionReused = false; // it has carried an earlier request
-  std::set<std::string> mExcluded;
-  std::set<std::string> mRefusedBy;      // upstreams that refused this request as not run
-  std::uint32_t mPossibleRuns = 0;       // attempts that may have been executed
-  std::uint32_t mAttempts = 0;           // without those whose connection failed
-  std::uint32_t mConnectionAttempts = 0; // including failed connections
-  bool mMayHaveRun = false;
-  bool mServedRecorded = false; // in the current attempt
-  bool mAdmitted = false;       // to the queue, when the request first had to wait
+  std::optional<QuotaCharge> mCharge;
+  Attempt mAttempt;                   // the current one, or else the last one
+  link::MemoryCharge mBufferedCharge; // for the body that `mAttempt` holds
+  AttemptHistory mHistory;
+  bool mAdmitted = false; // to the queue, when the request first had to wait
   bool mCompleted = false;
-  Instant mAttemptStarted{};
-  /// When the first event or part of a body arrived in the current attempt.
-  std::optional<Instant> mAttemptBodyStarted;
   std::int64_t mWaitedMs = 0;
-
-  link::ResponseHead mHead;
-  ResponseMetadata mMetadata;
-  std::string mBufferedBody;
   bool mHeadForwarded = false;
-  bool mDiscarding = false;
-  std::size_t mDiscardedBytes = 0;
-  bool mStreaming = false;
   EventStream mEvents;
   StreamTimes mStreamTimes;
 };
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -167,13 +167,38 @@
   "upstream-pause",
   "An upstream refused a request and wants no other one from this host for `pause_ms`."
 };
+inline constexpr EventDefinition kConfigUnconfirmed{
+  4131,
+  Severity::Warning,
+  "config-unconfirmed",
+  "The configuration may be outdated, so requests with keys are refused; `age_ms` is the "
+  "age of its latest confirmation, -1 if there was none."
+};
+inline constexpr EventDefinition kConfigConfirmed{
+  4132,
+  Severity::Info,
+  "config-confirmed",
+  "The configuration is confirmed again, so requests with keys are accepted."
+};
 inline constexpr EventDefinition kQuotaIssuer{
-  4140,
+  4133,
   Severity::Info,
   "quota-issuer",
   "This host gets its part of the quotas of organisations from `issuer`; empty: it uses "
-  "a "
-  "share of its own."
+  "a share of its own."
+};
+inline constexpr EventDefinition kConfigFinding{
+  4140,
+  Severity::Warning,
+  "config-finding",
+  "A part of the configuration in force is invalid and was left out or changed; see "
+  "`finding`."
+};
+inline constexpr EventDefinition kMemoryShort{
+  4141,
+  Severity::Warning,
+  "memory-short",
+  "Requests were ended since connections held too much memory; `given_up` counts them."
 };
 
 } // namespace savoryrill::gateway
