--- a/src/config/gatewaysettings.h
+++ b/src/config/gatewaysettings.h
@@ -47,6 +47,11 @@
 std::uint32_t
 maxConnectionsOf(std::uint32_t aMaxDescriptors);
 
+/// Connections to upstreams: the two fifths that `maxConnectionsOf` leaves. 0: no limit,
+/// if the descriptors are not known.
+std::uint32_t
+maxUpstreamConnectionsOf(std::uint32_t aMaxDescriptors);
+
 struct CheckedGatewaySettings
 {
   Findings findings;
--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -117,6 +117,12 @@
   return (std::max(aMaxDescriptors, kKeptDescriptors + 5) - kKeptDescriptors) / 5 * 3;
 }
 
+std::uint32_t
+maxUpstreamConnectionsOf(std::uint32_t aMaxDescriptors)
+{
+  return aMaxDescriptors == 0 ? 0 : maxConnectionsOf(aMaxDescriptors) / 3 * 2;
+}
+
 CheckedGatewaySettings
 checkGatewaySettings(const std::string& aName, const std::string& aText)
 {
--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -68,6 +68,7 @@
   LONGS_EQUAL(0, small.findings.size());
   LONGS_EQUAL(48, small.settings.connectionMemoryMb);
   LONGS_EQUAL(1509, small.settings.maxConnections);
+  LONGS_EQUAL(1006, config::maxUpstreamConnectionsOf(small.settings.maxDescriptors));
   const auto stated = with(R"("host_memory_mb": 512, "max_descriptors": 3075,
                               "connection_memory_mb": 16, "max_connections": 128,)");
   LONGS_EQUAL(16, stated.settings.connectionMemoryMb);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -56,7 +56,7 @@
     , mBudget(mSettings.connectionMemoryMb * kBytesPerMb)
     , mRelieveCall(mDependencies.loop, [this] { relieveMemory(); })
     , mSelector(mSettings.dataCentre, mDependencies.seed)
-    , mPool(mDependencies.loop, {})
+    , mPool(mDependencies.loop, poolOptions(mSettings))
     , mControlClient(mDependencies.loop, mPool)
     , mQuarantine({ mDependencies.loop,
                     mDependencies.log,
@@ -86,6 +86,13 @@
   void drain(std::function<void()> aDone) override;
 
 private:
+  static link::OutboundPool::Options poolOptions(const config::GatewaySettings& aSettings)
+  {
+    link::OutboundPool::Options options;
+    options.maxConnections = config::maxUpstreamConnectionsOf(aSettings.maxDescriptors);
+    return options;
+  }
+
   static RequestScheduler::Options schedulerOptions(
     const config::GatewaySettings& aSettings)
   {
--- a/src/link/internal/inboundconnection.cpp
+++ b/src/link/internal/inboundconnection.cpp
@@ -208,6 +208,9 @@
     }
     flush();
     updateCharges();
+    if (mMessageComplete) {
+      setRequestStage(MemoryAccount::Stage::Waiting);
+    }
     if (!makeRoom()) {
       return;
     }
@@ -239,7 +242,6 @@
   mIsHttp10 = request.isHttp10;
   mKeepAlive = mParser.keepAlive();
   mTimer.reset();
-  setRequestStage(MemoryAccount::Stage::Waiting);
   updateCharges();
   mRequestCharge.set(head_memory + bufferMemory(request.body));
   mHandler.requestReceived(shared_from_this(), std::move(request));
--- a/src/link/internal/outboundconnection.cpp
+++ b/src/link/internal/outboundconnection.cpp
@@ -421,6 +421,9 @@
   if (entry.open >= aMaxConnections) {
     return {};
   }
+  if (!makeRoom()) {
+    return {};
+  }
   auto socket = connectTo(aEndpoint, mOptions.peerTimeout);
   if (!socket) {
     return {};
@@ -469,6 +472,23 @@
   }
 }
 
+bool
+OutboundPool::makeRoom()
+{
+  if (mOptions.maxConnections == 0 || open() < mOptions.maxConnections) {
+    return true;
+  }
+  for (auto& [key, entry] : mEntries) {
+    if (!entry.idle.empty()) {
+      entry.idle.front().connection->cancel();
+      entry.idle.pop_front();
+      --entry.open;
+      return true;
+    }
+  }
+  return false;
+}
+
 std::size_t
 OutboundPool::open() const
 {
--- a/src/link/outboundconnection.h
+++ b/src/link/outboundconnection.h
@@ -141,6 +141,8 @@
     Duration idleMargin =
       1s; // idle connections are closed this long before the peer does
     Duration assumedKeepAlive = 4s; // if the peer announces no keep-alive time
+    /// Open connections to all peers together; 0: no limit.
+    std::size_t maxConnections = 0;
   };
 
   OutboundPool(event::Loop& aLoop, Options aOptions);
@@ -158,7 +160,8 @@
   };
 
   /// Returns a connection to `aEndpoint` for one exchange: an idle connection of `aKey`,
-  /// or a new one if fewer than `aMaxConnections` connections of the key are open. The
+  /// or a new one if fewer than `aMaxConnections` connections of the key are open. An
+  /// idle connection of another key is closed if the pool has no room for a new one. The
   /// key names one incarnation of an upstream, so that a connection to an earlier
   /// incarnation at the same address is never used for its successor.
   PooledConnection take(const std::string& aKey,
@@ -192,6 +195,8 @@
     std::size_t open = 0;
   };
   void closeExpired();
+  /// False if the pool is full and none of its connections is idle.
+  bool makeRoom();
 
   event::Loop& mLoop;
   Options mOptions;
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -532,6 +532,41 @@
   LONGS_EQUAL(1, pool->opened());
 }
 
+// Guards against upstreams that take the descriptors of the store and of other hosts.
+TEST(OutboundConnection, PoolIsFull_IdleConnectionOfOtherKeyMakesRoom)
+{
+  respondWith(rawResponse(200, "", "body"));
+  link::OutboundPool::Options options;
+  options.maxConnections = 2;
+  pool = std::make_unique<link::OutboundPool>(*loop, options);
+  CHECK_TRUE(sendRequest());
+  const link::Endpoint endpoint{ "127.0.0.1", peer->port() };
+  const auto first = pool->take("v", endpoint, 4);
+  const auto second = pool->take("w", endpoint, 4);
+  CHECK_TRUE(first.connection && second.connection);
+  CHECK_TRUE(connection->closed());
+  CHECK_TRUE(pool->take("x", endpoint, 4).connection == nullptr);
+  LONGS_EQUAL(2, pool->open());
+}
+
+// Guards against a body that is sent in part or twice: it is not copied, and its socket
+// takes it in several parts.
+TEST(OutboundConnection, LargeBodyFollowsHead_ArrivesWhole)
+{
+  respondWith(rawResponse(200, "", "done"));
+  std::string body(4UL * 1024 * 1024, 'x');
+  for (std::size_t at = 0; at < body.size(); at += 1000) {
+    body[at] = static_cast<char>('a' + at / 1000 % 26);
+  }
+  const std::string head =
+    "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  connection = pool->take("u", { "127.0.0.1", peer->port() }, 4).connection;
+  connection->send(head, false, exchange, body);
+  CHECK_TRUE(until([&] { return exchange.done(); }));
+  CHECK_TRUE(peer->requests().size() == 1 && peer->requests().front() == head + body);
+  CHECK_TRUE(connection->reusable() && connection->requestStarted() == false);
+}
+
 // Guards against responses that reach the wrong caller.
 TEST(OutboundConnection, ResponseToOtherRequestComesFirst_SkippedAndConnectionNotReused)
 {
