Answer 503 to a request whose key moves while it waits

Such a request got 401, although every version of the configuration contained its key. The request has not run and can run under the new organisation when it is sent again, so it gets 503 key-moved with Retry-After.

--- a/src/serving/callerauthentication.h
+++ b/src/serving/callerauthentication.h
@@ -32,7 +32,8 @@
   /// organisations; `aConfirmed`: whether this host can show that the configuration was
   /// the newest a short time ago. A key is unknown only as far as the configuration is
   /// confirmed, since a newer version may contain it. Once a request has an organisation,
-  /// it runs under its name only.
+  /// it runs under its name only; if its key moves to another one, the caller may send it
+  /// again.
   std::optional<RefusalReason> check(const Directory& aDirectory, bool aConfirmed);
 
   /// As of the last check that succeeded; null if the request belongs to none.
--- a/src/serving/internal/callerauthentication.cpp
+++ b/src/serving/internal/callerauthentication.cpp
@@ -40,10 +40,12 @@
     return std::nullopt;
   }
   const auto* organisation = aDirectory->find(mKey);
-  if (organisation == nullptr ||
-      (mOrganisation && mOrganisation->name != organisation->name)) {
+  if (organisation == nullptr) {
     return RefusalReason::UnknownKey;
   }
+  if (mOrganisation && mOrganisation->name != organisation->name) {
+    return RefusalReason::KeyMoved;
+  }
   mOrganisation = *organisation;
   mChecked = aDirectory;
   return std::nullopt;
--- a/src/serving/types/requestdetails.h
+++ b/src/serving/types/requestdetails.h
@@ -46,7 +46,8 @@
   UpstreamsNotTaking, // all upstreams that could run it want no request from this host
                       // before its deadline
   MissingKey,         // its route needs a key
-  UnknownKey,         // its key belongs to no organisation, or no longer to the same one
+  UnknownKey,         // its key belongs to no organisation
+  KeyMoved,           // its key has moved to another organisation while it waited
   Unconfirmed,        // this host's configuration, and so its keys, may be outdated
   QuotaExceeded,      // the quota of its organisation is used up
   MemoryShort         // this host needed its memory for other requests
@@ -59,7 +60,7 @@
 template<>
 struct EnumNames<serving::RefusalReason>
 {
-  static constexpr EnumTable<serving::RefusalReason, 19> kTable{ {
+  static constexpr EnumTable<serving::RefusalReason, 20> kTable{ {
     { serving::RefusalReason::NoConfiguration, "no-configuration" },
     { serving::RefusalReason::NoRoute, "no-route" },
     { serving::RefusalReason::BadRequest, "bad-request" },
@@ -76,6 +77,7 @@
     { serving::RefusalReason::UpstreamsNotTaking, "upstreams-not-taking" },
     { serving::RefusalReason::MissingKey, "missing-key" },
     { serving::RefusalReason::UnknownKey, "unknown-key" },
+    { serving::RefusalReason::KeyMoved, "key-moved" },
     { serving::RefusalReason::Unconfirmed, "unconfirmed" },
     { serving::RefusalReason::QuotaExceeded, "quota-exceeded" },
     { serving::RefusalReason::MemoryShort, "memory-short" },
