--- /dev/null
+++ b/src/serving/servedshares.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <map>
+#include <span>
+#include <string>
+
+#include "base/types/time.h"
+
+namespace savoryrill::serving {
+
+// Guard against starvation. It handles this load pattern: urgent requests alone need all
+// capacity for longer than callers wait, so that an order by priority serves no others.
+
+/// Shares of requests that were served, by group: a route, a model or an organisation. A
+/// group that is served much more seldom than all requests together is starved, and its
+/// requests may be promoted. Not thread safe.
+class ServedShares
+{
+public:
+  /// A request that belongs to `aGroups` was served or not, for want of capacity.
+  void ended(std::span<const std::string> aGroups, bool aServed, Instant aNow);
+  /// True if one of the groups is starved and the limit of promotions leaves room.
+  bool mayPromote(std::span<const std::string> aGroups, Instant aNow) const;
+  /// A request that had to wait was sent.
+  void sent(bool aPromoted);
+  std::size_t size() const { return mGroups.size(); }
+
+  /// A group is starved below this part of the share of all requests. Callers are
+  /// promised a quarter; the rest is a margin for the delay with which shares are known.
+  static constexpr double kStarvedPart = 0.4;
+
+private:
+  struct Count
+  {
+    double served = 0;
+    double all = 0;
+    Instant updated{};
+
+    void add(bool aServed, Instant aNow);
+    void age(Instant aNow);
+  };
+  // Averages over a burst without holding its refusals against the time after it.
+  static constexpr Duration kTimeConstant = 10s;
+  // A group is compared only after this many requests: with fewer, chance decides.
+  static constexpr double kMinRequests = 4;
+  // Promoted requests are at most this part of those sent after waiting, so that
+  // priorities keep their meaning when many groups are starved.
+  static constexpr double kPromotedPart = 0.25;
+  static constexpr double kMaxCredit = 4;
+
+  std::map<std::string, Count> mGroups;
+  Count mAll;
+  double mCredit = 1;
+  std::size_t mEndedSinceCleanup = 0;
+};
+
+} // namespace savoryrill::serving
