--- a/src/serving/internal/schedulingpolicy.cpp
+++ b/src/serving/internal/schedulingpolicy.cpp
@@ -1,10 +1,10 @@
 #include "serving/schedulingpolicy.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <numeric>
 #include <string_view>
-#include <tuple>
 #include <utility>
 
 #include "serving/organisationservice.h"
@@ -20,30 +20,37 @@
 // that it has waited longer, so that long requests are served too.
 constexpr int kWaitingCreditDivisor = 2;
 
-/// Smaller values are sent first.
+/// Smaller values are sent first. Integers only: it is compared often.
 struct OrderKey
 {
-  bool notPromoted = true;
-  std::uint32_t priority = 0;
-  bool late = false;
-  double fairness = 0;
-  Duration urgency{};
-  Instant arrived{};
+  std::uint64_t rank = 0;   // promotion, priority, and whether it is late
+  std::int64_t step = 0;    // requests of one step are equal but for their organisations
+  std::int64_t urgency = 0; // microseconds
+  std::int64_t arrived = 0;
 
   friend bool operator<(const OrderKey& aLeft, const OrderKey& aRight)
   {
-    const auto tie = [](const OrderKey& aKey) {
-      return std::tie(aKey.notPromoted,
-                      aKey.priority,
-                      aKey.late,
-                      aKey.fairness,
-                      aKey.urgency,
-                      aKey.arrived);
-    };
-    return tie(aLeft) < tie(aRight);
+    if (aLeft.rank != aRight.rank) {
+      return aLeft.rank < aRight.rank;
+    }
+    if (aLeft.step != aRight.step) {
+      return aLeft.step < aRight.step;
+    }
+    if (aLeft.urgency != aRight.urgency) {
+      return aLeft.urgency < aRight.urgency;
+    }
+    return aLeft.arrived < aRight.arrived;
   }
 };
 
+std::uint64_t
+rankOf(const WaitingRequest& aRequest, bool aPromoted, bool aLate)
+{
+  constexpr std::uint64_t kNotPromoted = std::uint64_t{ 1 } << 33;
+  return (aPromoted ? 0 : kNotPromoted) | (std::uint64_t{ aRequest.priority } << 1) |
+         (aLate ? 1 : 0);
+}
+
 Duration
 slackOf(const WaitingRequest& aRequest, Instant aNow)
 {
@@ -69,41 +76,30 @@
   {
     return key(mRequest.callerLeaves - mNow);
   }
-  OrderKey operator()(InTimeFirst aPolicy) const
+  OrderKey operator()(InTimeFirst /*aPolicy*/) const
   {
     const auto slack = slackOf(mRequest, mNow);
     const bool late = slack < Duration::zero();
-    auto result = key(
-      late ? mRequest.work - (mNow - mRequest.arrived) / kWaitingCreditDivisor : slack);
-    result.notPromoted = !mRequest.promoted;
-    result.late = late;
-    if (aPolicy.fairness == FairnessLevel::AmongEqualSlack) {
-      result.fairness = static_cast<double>(result.urgency / kEqualSlack);
-    }
+    const auto waited = mNow - mRequest.arrived;
+    auto result = key(late ? mRequest.work - waited / kWaitingCreditDivisor : slack);
+    result.rank = rankOf(mRequest, mRequest.promoted, late);
+    result.step = result.urgency / kEqualSlack.count();
     return result;
   }
 
 private:
   OrderKey key(Duration aUrgency) const
   {
-    OrderKey result;
-    result.priority = mRequest.priority;
-    result.urgency = aUrgency;
-    result.arrived = mRequest.arrived;
-    return result;
+    return { rankOf(mRequest, false, false),
+             0,
+             aUrgency.count(),
+             mRequest.arrived.time_since_epoch().count() };
   }
 
   const WaitingRequest& mRequest;
   Instant mNow;
 };
 
-FairnessLevel
-fairnessOf(const SchedulingPolicy& aPolicy)
-{
-  const auto* policy = std::get_if<InTimeFirst>(&aPolicy);
-  return policy == nullptr ? FairnessLevel::None : policy->fairness;
-}
-
 /// Orders requests of one class by the counter that their organisation will have when its
 /// earlier requests are served, so that organisations take turns. Precondition: the
 /// requests are in the order within their organisations.
@@ -141,19 +137,18 @@
   std::ranges::stable_sort(order, [&](std::size_t aLeft, std::size_t aRight) {
     return keys[aLeft] < keys[aRight];
   });
-  if (fairnessOf(aPolicy) == FairnessLevel::None) {
+  if (!std::holds_alternative<InTimeFirst>(aPolicy)) {
     return order;
   }
   const auto same_class = [&](std::size_t aLeft, std::size_t aRight) {
-    const auto& left = keys[aLeft];
-    const auto& right = keys[aRight];
-    return std::tie(left.notPromoted, left.priority, left.late, left.fairness) ==
-           std::tie(right.notPromoted, right.priority, right.late, right.fairness);
+    return keys[aLeft].rank == keys[aRight].rank && keys[aLeft].step == keys[aRight].step;
   };
   for (auto begin = order.begin(); begin != order.end();) {
     const auto end = std::find_if(
       begin, order.end(), [&](std::size_t aItem) { return !same_class(*begin, aItem); });
-    takeTurns(std::span(begin, end), aRequests);
+    if (end - begin > 1) {
+      takeTurns(std::span(begin, end), aRequests);
+    }
     begin = end;
   }
   return order;
--- a/src/serving/schedulingpolicy.h
+++ b/src/serving/schedulingpolicy.h
@@ -35,21 +35,12 @@
 struct EarliestDeadline
 {};
 
-/// Where the counters of organisations enter the order of `InTimeFirst`.
-enum class FairnessLevel
-{
-  None,
-  AmongEqualSlack, // only between requests whose slack differs little
-  WithinClass      // before the slack, within a priority and in-time or late requests
-};
-
 /// By priority; within it, requests that can meet their objective before those that
 /// cannot. The former by least slack; the latter by shortest work, less a credit for the
-/// time that they have waited. Promoted requests go first.
+/// time that they have waited. Among requests for which this differs little,
+/// organisations take turns by their counters. Promoted requests go first.
 struct InTimeFirst
-{
-  FairnessLevel fairness = FairnessLevel::AmongEqualSlack;
-};
+{};
 
 using SchedulingPolicy =
   std::variant<PriorityThenAge, LeastSlack, ShortestWork, EarliestDeadline, InTimeFirst>;
--- a/src/serving/servedshares.h
+++ b/src/serving/servedshares.h
@@ -27,7 +27,7 @@
 
   /// A group is starved below this part of the share of all requests. Callers are
   /// promised a quarter; the rest is a margin for the delay with which shares are known.
-  static constexpr double kStarvedPart = 0.4;
+  static constexpr double kStarvedPart = 0.5;
 
 private:
   struct Count
@@ -41,11 +41,11 @@
   };
   // Averages over a burst without holding its refusals against the time after it.
   static constexpr Duration kTimeConstant = 10s;
-  // A group is compared only after this many requests: with fewer, chance decides.
-  static constexpr double kMinRequests = 4;
-  // Promoted requests are at most this part of those sent after waiting, so that
+  // A group is compared only after this many requests, counted with their age.
+  static constexpr double kMinRequests = 2;
+  // Promoted requests are at most about this part of those sent after waiting, so that
   // priorities keep their meaning when many groups are starved.
-  static constexpr double kPromotedPart = 0.25;
+  static constexpr double kPromotedPart = 0.34;
   static constexpr double kMaxCredit = 4;
 
   std::map<std::string, Count> mGroups;
