Apply the scheduling policy behind a setting of the gateway

The setting scheduling selects the order in-time-first; by default, requests are ordered and refused as before, and no random number more is drawn. The log events call-waits and call-refused state the expected wait, the time to the objective and until the caller leaves.

--- a/src/config/gatewaysettings.h
+++ b/src/config/gatewaysettings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/result.h"
+#include "base/types/enumnames.h"
 #include "base/types/eventdefinition.h"
 #include "base/types/time.h"
 #include "config/settings.h"
@@ -12,6 +13,14 @@
 
 namespace savoryrill::config {
 
+/// Order in which requests that wait for capacity are sent, and which of them are
+/// refused.
+enum class Scheduling
+{
+  PriorityThenAge,
+  InTimeFirst // those that can still meet their objective; organisations take turns
+};
+
 /// What a gateway process reads from its settings file (JSON with comments).
 struct GatewaySettings
 {
@@ -30,7 +39,8 @@
   double retryShare = 0.2;     // repeated sends for each request of an upstream group
   double retryReserve = 50;    // and this many more in a while, of all hosts together
   std::uint32_t maxConnections = 1500; // of callers
-  double linkMbps = 0;                 // of this host's network link; 0: not known
+  Scheduling scheduling = Scheduling::PriorityThenAge;
+  double linkMbps = 0; // of this host's network link; 0: not known
 };
 
 struct CheckedGatewaySettings
@@ -49,3 +59,16 @@
 readGatewaySettings(const std::string& aPath);
 
 } // namespace savoryrill::config
+
+namespace savoryrill {
+
+template<>
+struct EnumNames<config::Scheduling>
+{
+  static constexpr EnumTable<config::Scheduling, 2> kTable{ {
+    { config::Scheduling::PriorityThenAge, "priority-then-age" },
+    { config::Scheduling::InTimeFirst, "in-time-first" },
+  } };
+};
+
+} // namespace savoryrill
--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -49,6 +49,7 @@
     mRoot.real("retry_share", mSettings.retryShare, kShare);
     mRoot.real("retry_reserve", mSettings.retryReserve, kReserve);
     mRoot.integer("max_connections", mSettings.maxConnections, kConnections);
+    mRoot.enumeration("scheduling", mSettings.scheduling);
     mRoot.real("link_mbps", mSettings.linkMbps, kLinkMbps);
     mRoot.finish();
     return std::move(mSettings);
--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -54,6 +54,20 @@
   CHECK_TRUE(config::hasErrors(config::checkGatewaySettings("s", text).findings));
 }
 
+TEST(GatewaySettings, Scheduling_NamedOrderOrTodaysOrReported)
+{
+  const auto with = [this](const std::string& aName) {
+    auto text = whole;
+    text.insert(text.rfind('}'), R"(, "scheduling": ")" + aName + "\"");
+    return config::checkGatewaySettings("s", text);
+  };
+  CHECK_TRUE(config::checkGatewaySettings("s", whole).settings.scheduling ==
+             config::Scheduling::PriorityThenAge);
+  CHECK_TRUE(with("in-time-first").settings.scheduling ==
+             config::Scheduling::InTimeFirst);
+  CHECK_TRUE(config::hasErrors(with("fair").findings));
+}
+
 TEST(GatewaySettings, LinkBandwidthAndLeaveNotice_ReadOrReported)
 {
   auto text = whole;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,8 +42,8 @@
 
   virtual bool ready() const = 0;
 
-  /// Applies the drain limit and the retry limits of changed settings and ignores
-  /// the others, which need a restart.
+  /// Applies the drain limit, the retry limits and the scheduling of changed settings
+  /// and ignores the others, which need a restart.
   virtual void updateSettings(const config::GatewaySettings& aSettings) = 0;
 
   /// Starts a graceful shutdown: readiness turns false, requests in progress continue,
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -86,6 +86,9 @@
     RequestScheduler::Options options;
     options.retryShare = aSettings.retryShare;
     options.retryReserve = aSettings.retryReserve;
+    if (aSettings.scheduling == config::Scheduling::InTimeFirst) {
+      options.scheduling = serving::InTimeFirst{};
+    }
     return options;
   }
 
--- a/src/gateway/internal/requestscheduler.cpp
+++ b/src/gateway/internal/requestscheduler.cpp
@@ -27,6 +27,7 @@
   , mHostCount(kAssumedHostCount)
   , mSendCall(aContext.loop, [this] { sendWaiting(); })
 {
+  mOrder.setPolicy(mOptions.scheduling);
 }
 
 RequestScheduler::~RequestScheduler() = default;
@@ -35,6 +36,7 @@
 RequestScheduler::setOptions(Options aOptions)
 {
   mOptions = aOptions;
+  mOrder.setPolicy(mOptions.scheduling);
   updateBudgetLimits();
 }
 
@@ -147,12 +149,21 @@
   if (known) {
     return;
   }
-  if (mWaiting.size() >= mOptions.maxWaiting) {
+  if (mWaiting.size() >= mOptions.maxWaiting && !mOrder.active()) {
     // The limit bounds the memory; the requests that already wait are served first.
     aRequest.refuseIfWaiting(RefusalReason::QueueFull);
     return;
   }
   mWaiting.push_back(aRequest.shared_from_this());
+  if (mWaiting.size() > mOptions.maxWaiting) {
+    // Here the request that would be sent last makes room.
+    mOrder.sort(mWaiting, mContext.loop.now());
+    const auto last = mWaiting.back();
+    last->refuseIfWaiting(RefusalReason::QueueFull);
+    if (last.get() == &aRequest) {
+      return;
+    }
+  }
   if (!aRequest.model().model.empty() && mDemandCallback) {
     mDemandCallback();
   }
@@ -191,6 +202,7 @@
   std::erase_if(mWaiting, [&](const std::shared_ptr<RequestTask>& aItem) {
     return aItem.get() == &aRequest;
   });
+  mOrder.ended(aRequest, mContext.loop.now());
   if (aRequest.completed() && !aRequest.model().model.empty()) {
     ++mFinished[aRequest.model()];
   }
@@ -212,10 +224,7 @@
   if (mWaiting.empty()) {
     return;
   }
-  std::ranges::stable_sort(mWaiting, [](const auto& aLeft, const auto& aRight) {
-    return std::pair(aLeft->priority(), aLeft->arrived()) <
-           std::pair(aRight->priority(), aRight->arrived());
-  });
+  mOrder.sort(mWaiting, mContext.loop.now());
   const auto waiting = mWaiting;
   for (const auto& request : waiting) {
     request->sendIfPossible();
@@ -289,6 +298,30 @@
   }
 }
 
+void
+RequestScheduler::onRequestSent(const RequestTask& aRequest)
+{
+  mOrder.sent(aRequest, mContext.loop.now());
+}
+
+serving::ArrivalAssessment
+RequestScheduler::assessArrival(const RequestTask& aRequest, Duration aBacklog)
+{
+  return mOrder.assess(aRequest, mWaiting, aBacklog, mContext.loop.now());
+}
+
+std::optional<Duration>
+RequestScheduler::returnTime(const RequestTask& aRequest,
+                             RefusalReason aReason,
+                             std::optional<Duration> aReadyIn)
+{
+  if (!mOrder.active()) {
+    return aReadyIn; // and the sequence of random choices stays the same
+  }
+  const double random = std::uniform_real_distribution<double>(0, 1)(mRandom);
+  return mOrder.returnTime(aRequest, aReason, aReadyIn, random, mContext.loop.now());
+}
+
 bool
 RequestScheduler::takeRetry(const std::string& aGroup)
 {
--- a/src/gateway/internal/requestscheduler.h
+++ b/src/gateway/internal/requestscheduler.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "event/deferredcall.h"
+#include "gateway/internal/requestorder.h"
 #include "gateway/internal/requesttask.h"
 #include "link/inboundconnection.h"
 #include "serving/types/placement.h"
@@ -30,6 +31,7 @@
     std::size_t maxWaiting = 600;
     double retryShare = 0.2;  // retries per request
     double retryReserve = 50; // burst of retries, shared by all hosts
+    serving::SchedulingPolicy scheduling;
   };
 
   RequestScheduler(RequestContext aContext, Options aOptions, std::uint64_t aSeed);
@@ -46,7 +48,7 @@
   /// Ends all requests at once; each response says if its request may have run.
   void terminateAll();
 
-  /// Tries to send waiting requests, by priority and then by age.
+  /// Tries to send waiting requests, in the order of `Options::scheduling`.
   void sendWaiting();
 
   /// Requests waiting and in progress by model, with the arrivals and completions since
@@ -82,6 +84,12 @@
   void onSlotFreed() override;
   void onRequestEnded(RequestTask& aRequest) override;
   void onUpstreamLeaving(const std::string& aUpstream, std::int64_t aBornMs) override;
+  void onRequestSent(const RequestTask& aRequest) override;
+  serving::ArrivalAssessment assessArrival(const RequestTask& aRequest,
+                                           Duration aBacklog) override;
+  std::optional<Duration> returnTime(const RequestTask& aRequest,
+                                     serving::RefusalReason aReason,
+                                     std::optional<Duration> aReadyIn) override;
   bool takeRetry(const std::string& aGroup) override;
   std::uint32_t hostCount() const override { return mHostCount; }
 
@@ -100,6 +108,7 @@
   link::InboundLimits mLimits;
   std::unordered_set<std::shared_ptr<RequestTask>> mRequests;
   std::vector<std::shared_ptr<RequestTask>> mWaiting;
+  RequestOrder mOrder;
   std::map<std::string, routing::RetryBudget> mBudgets;
   std::map<serving::ModelKey, std::uint32_t> mArrivals; // since the last takeDemand
   std::map<serving::ModelKey, std::uint32_t> mFinished; // since the last takeDemand
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -1,9 +1,9 @@
 #include "gateway/internal/requesttask.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gateway/types/gatewayevents.h"
-#include "serving/admission.h"
 
 namespace savoryrill::gateway {
 
@@ -264,6 +264,9 @@
     parameters.urgency = std::min(9U, mRoute->priority);
     parameters.resumeAfter = mEvents.lastId();
     ++mAttempts;
+    if (!std::exchange(mSent, true)) {
+      mOwner.onRequestSent(*this);
+    }
     mContext.selector.recordStart(mUpstream, now);
     mConnection->send(mContext.protocol.writeRequest(mRequest, parameters),
                       mRequest.method == "HEAD",
@@ -287,6 +290,7 @@
     return;
   }
   const auto delay = mContext.selector.timeUntilReady(query(), now);
+  mModelReadyAt = delay ? std::optional(now + *delay) : std::nullopt;
   if (delay && *delay + needed > remaining_time) {
     refuse(RefusalReason::ModelNotInTime);
     return;
@@ -311,10 +315,13 @@
     // Checked only when the request first has to wait: the backlog is the delay of a new
     // request, and those that already wait are ahead of new ones.
     const auto backlog = mContext.selector.backlogTime(mDetails.model.model, now);
-    if (engine && !mHeadForwarded && backlog &&
-        !serving::shouldQueue(*backlog, objective() - now)) {
-      refuse(RefusalReason::Overloaded);
-      return;
+    if (engine && !mHeadForwarded && backlog) {
+      const auto assessed = mOwner.assessArrival(*this, *backlog);
+      mAhead = assessed.ahead;
+      if (assessed.decision != serving::ArrivalDecision::Wait) {
+        refuse(RefusalReason::Overloaded);
+        return;
+      }
     }
     mAdmitted = true;
     mContext.log.write(
@@ -323,7 +330,8 @@
         { "model", serving::toString(mDetails.model) },
         { "without_permit",
           std::uint64_t{ mContext.selector.countWithoutPermit(query(), now) } },
-        { "ready_in_ms", delay ? toMs(*delay) : -1 } });
+        { "ready_in_ms", delay ? toMs(*delay) : -1 },
+        { "ahead_ms", toMs(mAhead) } });
   }
   mOwner.onRequestWaiting(*this);
 }
@@ -691,7 +699,11 @@
   }
   const auto delay = aRetryAfter ? aRetryAfter : expectedDelay();
   const bool known = delay && *delay > Duration::zero();
-  const auto refusal = refusalFor(aReason, mMayHaveRun, known ? delay : std::nullopt);
+  const auto ready_in = known ? delay : std::nullopt;
+  const auto return_in =
+    mMayHaveRun ? ready_in : mOwner.returnTime(*this, aReason, ready_in);
+  const auto refusal = refusalFor(aReason, mMayHaveRun, return_in);
+  const auto now = mContext.loop.now();
   mContext.metrics.add(
     seriesOf("savoryrill_gateway_refusals_total", "reason", nameOf(aReason)));
   mContext.log.write(kCallRefused,
@@ -702,6 +714,10 @@
                        { "status", std::int64_t{ refusal.status } },
                        { "ran", refusal.mayHaveRun ? "unknown" : "no" },
                        { "ready_in_ms", delay ? toMs(*delay) : -1 },
+                       { "priority", std::uint64_t{ priority() } },
+                       { "ahead_ms", toMs(mAhead) },
+                       { "to_objective_ms", toMs(objective() - now) },
+                       { "caller_leaves_ms", toMs(callerLeavesAt() - now) },
                        { "sends", std::int64_t{ mAttempts } },
                        { "config", mRoutes->config().version },
                        { "after_ms", elapsedMs() } });
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -22,6 +22,7 @@
 #include "link/outboundconnection.h"
 #include "routing/retrybudget.h"
 #include "serving/routetable.h"
+#include "serving/schedulingpolicy.h"
 #include "serving/types/requestdetails.h"
 
 namespace savoryrill::gateway {
@@ -52,6 +53,16 @@
   virtual void onRequestEnded(RequestTask& aRequest) = 0;
   /// An incarnation of an upstream has said in a response that it is about to stop.
   virtual void onUpstreamLeaving(const std::string& aUpstream, std::int64_t aBornMs) = 0;
+  /// The request is sent to an upstream for the first time.
+  virtual void onRequestSent(const RequestTask& aRequest) = 0;
+  /// Decides about a request that has to wait for its model; see `assessArrival`.
+  virtual serving::ArrivalAssessment assessArrival(const RequestTask& aRequest,
+                                                   Duration aBacklog) = 0;
+  /// When the caller of a refused request should return; `aReadyIn` if it needs not be
+  /// spread.
+  virtual std::optional<Duration> returnTime(const RequestTask& aRequest,
+                                             serving::RefusalReason aReason,
+                                             std::optional<Duration> aReadyIn) = 0;
   /// Takes one retry from this host's part of the budget that all hosts share; false if
   /// none is left.
   virtual bool takeRetry(const std::string& aGroup) = 0;
@@ -99,6 +110,28 @@
   const serving::ModelKey& model() const { return mDetails.model; }
   const std::string& group() const { return mGroup; }
   std::uint32_t priority() const { return mRoute->priority; }
+  /// Organisation of the caller; empty if unknown.
+  const std::string& organisation() const { return mOrganisation; }
+  const std::string& routeName() const { return mRoute->name; }
+  /// Tokens of the prompt and the maximum number to generate; 0 if not stated.
+  double tokens() const { return double(mDetails.promptTokens) + mDetails.outputTokens; }
+  /// Maximum time until the final response.
+  Duration timeLimit() const { return mDeadline - mArrived; }
+  /// When its model is expected to be loaded; nothing if unknown when it last had to
+  /// wait.
+  std::optional<Instant> modelReadyAt() const { return mModelReadyAt; }
+  bool hadToWait() const { return mAdmitted; }
+  /// True if a part of the response has been forwarded.
+  bool hasBegun() const { return mHeadForwarded; }
+  /// True if an attempt has reached an upstream.
+  bool wasSent() const { return mSent; }
+  /// Of the last attempt. Precondition: `completed()`.
+  Duration timeAtUpstream(Instant aNow) const { return aNow - mAttemptStarted; }
+  Duration timeToFirstEvent(Instant aNow) const
+  {
+    return std::max(Duration::zero(),
+                    mStreamTimes.firstEvent().value_or(aNow) - mAttemptStarted);
+  }
   Instant arrived() const { return mArrived; }
   /// When the caller gives up if it receives nothing more until then. Callers disconnect
   /// after `callerTimeout` without an event of a stream.
@@ -177,6 +210,7 @@
   std::shared_ptr<const serving::RouteTable> mRoutes;
   const serving::Route* mRoute;
   std::string mGroup;
+  std::string mOrganisation;
   Instant mArrived;
   Instant mDeadline;
   State mState = State::Waiting;
@@ -194,7 +228,10 @@
   std::uint32_t mConnectionAttempts = 0; // including failed connections
   bool mMayHaveRun = false;
   bool mServedRecorded = false; // in the current attempt
-  bool mAdmitted = false;       // to the queue, when the request first had to wait
+  bool mSent = false;
+  std::optional<Instant> mModelReadyAt;
+  Duration mAhead = -1ms; // expected time until it is sent, when it first had to wait
+  bool mAdmitted = false; // to the queue, when the request first had to wait
   bool mCompleted = false;
   Instant mAttemptStarted{};
   /// When the first event or part of a body arrived in the current attempt.
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -56,7 +56,8 @@
   4109,
   Severity::Warning,
   "call-refused",
-  "A request ended with an error from this host; `ran` says whether it may have run."
+  "A request ended with an error from this host; `ran` says whether it may have run, "
+  "`ahead_ms` the expected wait on arrival, -1 if unknown."
 };
 inline constexpr EventDefinition kCallLeft{
   4110,
@@ -80,7 +81,9 @@
   4113,
   Severity::Info,
   "call-waits",
-  "A request waits for an upstream; `ready_in_ms` is the expected time, -1 if unknown."
+  "A request waits for an upstream; `ready_in_ms` is the expected time until its model "
+  "is "
+  "loaded, `ahead_ms` that until requests before it are sent; -1 if unknown."
 };
 inline constexpr EventDefinition kLeaderChanged{
   4114,
--- a/src/serving/internal/schedulingpolicy.cpp
+++ b/src/serving/internal/schedulingpolicy.cpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <utility>
 
+#include "serving/admission.h"
 #include "serving/organisationservice.h"
 
 namespace savoryrill::serving {
@@ -165,8 +166,8 @@
   const auto to_objective = aArriving.objective - aNow;
   if (std::holds_alternative<PriorityThenAge>(aPolicy)) {
     result.ahead = aBacklog;
-    result.decision =
-      aBacklog <= to_objective ? ArrivalDecision::Wait : ArrivalDecision::RefuseLate;
+    result.decision = shouldQueue(aBacklog, to_objective) ? ArrivalDecision::Wait
+                                                          : ArrivalDecision::RefuseLate;
     return result;
   }
   std::vector<WaitingRequest> requests(aWaiting.begin(), aWaiting.end());
--- a/src/serving/internal/servedshares.cpp
+++ b/src/serving/internal/servedshares.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace savoryrill::serving {
 
@@ -29,35 +30,36 @@
   for (const auto& group : aGroups) {
     mGroups.try_emplace(group, Count{ 0, 0, aNow }).first->second.add(aServed, aNow);
   }
+  if (aNow - mSearched >= kSearchInterval) {
+    mSearched = aNow;
+    findStarved(aNow);
+  }
+}
+
+void
+ServedShares::findStarved(Instant aNow)
+{
   // Bounds the memory by the groups of the last minute.
-  constexpr std::size_t kEndedBetweenCleanups = 1000;
   constexpr double kForgotten = 0.01;
-  if (++mEndedSinceCleanup >= kEndedBetweenCleanups) {
-    mEndedSinceCleanup = 0;
-    std::erase_if(mGroups, [&](const auto& aItem) {
-      Count count = aItem.second;
-      count.age(aNow);
-      return count.all < kForgotten;
-    });
+  const double mean = mAll.served / mAll.all;
+  mStarved.clear();
+  for (auto item = mGroups.begin(); item != mGroups.end();) {
+    auto& count = item->second;
+    count.age(aNow);
+    if (count.all >= kMinRequests && count.served < kStarvedPart * mean * count.all) {
+      mStarved.insert(item->first);
+    }
+    item = count.all < kForgotten ? mGroups.erase(item) : std::next(item);
   }
 }
 
 bool
-ServedShares::mayPromote(std::span<const std::string> aGroups, Instant aNow) const
+ServedShares::mayPromote(std::span<const std::string> aGroups) const
 {
-  if (mCredit < 1 || mAll.all <= 0) {
-    return false;
-  }
-  const double mean = mAll.served / mAll.all;
-  return std::ranges::any_of(aGroups, [&](const std::string& aGroup) {
-    const auto found = mGroups.find(aGroup);
-    if (found == mGroups.end()) {
-      return false;
-    }
-    Count count = found->second;
-    count.age(aNow);
-    return count.all >= kMinRequests && count.served < kStarvedPart * mean * count.all;
-  });
+  return mCredit >= 1 && !mStarved.empty() &&
+         std::ranges::any_of(aGroups, [this](const std::string& aGroup) {
+           return mStarved.contains(aGroup);
+         });
 }
 
 void
--- a/src/serving/servedshares.h
+++ b/src/serving/servedshares.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 
@@ -20,7 +21,8 @@
   /// A request that belongs to `aGroups` was served or not, for want of capacity.
   void ended(std::span<const std::string> aGroups, bool aServed, Instant aNow);
   /// True if one of the groups is starved and the limit of promotions leaves room.
-  bool mayPromote(std::span<const std::string> aGroups, Instant aNow) const;
+  bool mayPromote(std::span<const std::string> aGroups) const;
+  bool anyStarved() const { return !mStarved.empty(); }
   /// A request that had to wait was sent.
   void sent(bool aPromoted);
   std::size_t size() const { return mGroups.size(); }
@@ -39,6 +41,8 @@
     void add(bool aServed, Instant aNow);
     void age(Instant aNow);
   };
+  void findStarved(Instant aNow);
+
   // Averages over a burst without holding its refusals against the time after it.
   static constexpr Duration kTimeConstant = 10s;
   // A group is compared only after this many requests, counted with their age.
@@ -47,11 +51,14 @@
   // priorities keep their meaning when many groups are starved.
   static constexpr double kPromotedPart = 0.34;
   static constexpr double kMaxCredit = 4;
+  // Between two searches for starved groups, which cost more than a look-up.
+  static constexpr Duration kSearchInterval = 100ms;
 
   std::map<std::string, Count> mGroups;
   Count mAll;
   double mCredit = 1;
-  std::size_t mEndedSinceCleanup = 0;
+  std::set<std::string> mStarved;
+  Instant mSearched{};
 };
 
 } // namespace savoryrill::serving
--- a/src/serving/tests/schedulingpolicytest.cpp
+++ b/src/serving/tests/schedulingpolicytest.cpp
@@ -149,6 +149,7 @@
   void end(const std::vector<std::string>& aGroup, int aServed, int aRefused)
   {
     for (int at = 0; at < aServed + aRefused; ++at) {
+      now += 20ms;
       shares.ended(aGroup, at < aServed, now);
     }
   }
@@ -158,10 +159,10 @@
 {
   end(seldom, 1, 9);
   end(often, 8, 2);
-  CHECK_TRUE(shares.mayPromote(seldom, now));
-  CHECK_FALSE(shares.mayPromote(often, now));
+  CHECK_TRUE(shares.mayPromote(seldom));
+  CHECK_FALSE(shares.mayPromote(often));
   end(seldom, 9, 0);
-  CHECK_FALSE(shares.mayPromote(seldom, now));
+  CHECK_FALSE(shares.mayPromote(seldom));
 }
 
 // Guards against promotions that replace the order by priority.
@@ -171,7 +172,7 @@
   end(often, 100, 0);
   int promoted = 0;
   for (int at = 0; at < 400; ++at) {
-    const bool promotes = shares.mayPromote(seldom, now);
+    const bool promotes = shares.mayPromote(seldom);
     promoted += promotes ? 1 : 0;
     shares.sent(promotes);
   }
--- a/src/serving/tests/schedulingreplay.cpp
+++ b/src/serving/tests/schedulingreplay.cpp
@@ -191,7 +191,7 @@
 
   bool mayPromote(const Arrival& aArrival) const
   {
-    return mOptions.guarded && mShares.mayPromote(aArrival.groups, mNow);
+    return mOptions.guarded && mShares.mayPromote(aArrival.groups);
   }
 
   WaitingRequest viewOf(const Arrival& aArrival, bool aPromoted) const
