--- a/src/gateway/internal/requestorder.cpp
+++ b/src/gateway/internal/requestorder.cpp
@@ -64,7 +64,7 @@
   serving::WaitingRequest result;
   result.priority = aRequest.priority();
   result.organisation = aRequest.organisation();
-  result.counter = mService.counter(result.organisation);
+  result.counter = mService.counter(aRequest.organisation());
   result.arrived = aRequest.arrived();
   result.objective = aRequest.objective();
   result.callerLeaves = aRequest.callerLeavesAt();
--- a/src/serving/types/waitingrequest.h
+++ b/src/serving/types/waitingrequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
+#include <string_view>
 
 #include "base/types/time.h"
 
@@ -11,8 +11,8 @@
 struct WaitingRequest
 {
   std::uint32_t priority = 0; // of the organisation, or else of the route; 0: most urgent
-  std::string organisation;   // empty: none
-  double counter = 0;         // of the organisation, see `OrganisationService`
+  std::string_view organisation; // empty: none; its text outlives this
+  double counter = 0;            // of the organisation, see `OrganisationService`
   Instant arrived{};
   Instant objective{};    // when the first event or whole response is due
   Instant callerLeaves{}; // when the caller gives up
