--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -63,6 +63,7 @@
     mRoot.real("retry_share", mSettings.retryShare, kShare);
     mRoot.real("retry_reserve", mSettings.retryReserve, kReserve);
     readCapacity();
+    mRoot.enumeration("scheduling", mSettings.scheduling);
     mRoot.real("link_mbps", mSettings.linkMbps, kLinkMbps);
     mRoot.finish();
     return std::move(mSettings);
--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -90,6 +90,20 @@
   CHECK_TRUE(mentions(with(R"("max_descriptors": 100,)"), "max_descriptors"));
 }
 
+TEST(GatewaySettings, Scheduling_NamedOrderOrTodaysOrReported)
+{
+  const auto with = [this](const std::string& aName) {
+    auto text = whole;
+    text.insert(text.rfind('}'), R"(, "scheduling": ")" + aName + "\"");
+    return config::checkGatewaySettings("s", text);
+  };
+  CHECK_TRUE(config::checkGatewaySettings("s", whole).settings.scheduling ==
+             config::Scheduling::PriorityThenAge);
+  CHECK_TRUE(with("in-time-first").settings.scheduling ==
+             config::Scheduling::InTimeFirst);
+  CHECK_TRUE(config::hasErrors(with("fair").findings));
+}
+
 TEST(GatewaySettings, LinkBandwidthAndLeaveNotice_ReadOrReported)
 {
   auto text = whole;
