Report no outage when the first configuration comes into force

Cause: the confirmation was logged between the moment at which a configuration came into force and its confirmation by the same read, so each start of a host with organisations reported an outage. Change: it is logged once per tick only. The gauge config_unconfirmed repeated config_confirmed and is gone. Tests: an outage of the confirmation ends and is reported once; quotas of the configuration apply to requests.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -356,7 +356,6 @@
     mLeader->setConfig(table->config());
     mConfirmation.configApplied(mConfigVersion);
     mConfirmationTask->configApplied(table->config());
-    logConfirmation();
     logReadiness();
   }
 }
@@ -708,7 +707,6 @@
   metrics.set("savoryrill_gateway_upstream_connections_opened",
               static_cast<double>(mPool.opened()));
   metrics.set("savoryrill_gateway_ready", ready() ? 1 : 0);
-  metrics.set("savoryrill_gateway_config_unconfirmed", refusesKeys() ? 1 : 0);
   if (const auto age = mConfirmation.age(mDependencies.loop.now())) {
     metrics.set("savoryrill_gateway_config_confirmation_age_ms",
                 static_cast<double>(toMs(*age)));
