--- a/src/gateway/internal/quotaexchange.cpp
+++ b/src/gateway/internal/quotaexchange.cpp
@@ -18,6 +18,8 @@
 {
   using T::operator()...;
 };
+template<typename... T>
+Overloaded(T...) -> Overloaded<T...>;
 
 // Differs between processes of one host, which may have the same seed.
 std::mt19937_64
