--- a/src/serving/internal/quotashare.cpp
+++ b/src/serving/internal/quotashare.cpp
@@ -27,6 +27,18 @@
   }
 }
 
+double
+QuotaShare::ofFormerLeader(std::uint32_t aServed, bool aKnown, Instant aNow) const
+{
+  // Hosts that it has not seen while it led use at most a part of their own shares.
+  const double unseen =
+    aKnown ? 0 : 1 - std::min(1.0, mCount / double{ QuotaLedger::kUnknownHostCount });
+  const double served = static_cast<double>(aServed) / std::max({ 1U, aServed, mCount }) *
+                        (1 - unseen * QuotaLedger::kUsedShare);
+  const bool lately = aNow - *mLeadingChanged < kFormerLeaderTime;
+  return lately ? served : served * QuotaLedger::kUsedShare;
+}
+
 double
 QuotaShare::of(std::uint32_t aServed, Instant aNow)
 {
@@ -35,8 +47,8 @@
     std::max({ 1U, aServed, mCount, known ? 0 : QuotaLedger::kUnknownHostCount });
   const double served = static_cast<double>(aServed) / all;
   if (!mLeading) {
-    const bool lately = mLeadingChanged && aNow - *mLeadingChanged < kFormerLeaderTime;
-    return lately ? served : served * QuotaLedger::kUsedShare;
+    return mLeadingChanged ? ofFormerLeader(aServed, known, aNow)
+                           : served * QuotaLedger::kUsedShare;
   }
   if (aServed >= all) {
     mMissingSince.reset();
--- a/src/serving/quotashare.h
+++ b/src/serving/quotashare.h
@@ -44,6 +44,8 @@
   double of(std::uint32_t aServed, Instant aNow);
 
 private:
+  double ofFormerLeader(std::uint32_t aServed, bool aKnown, Instant aNow) const;
+
   std::uint32_t mCount = 0;
   Instant mCountSeen{};
   bool mStated = false;
--- a/src/serving/tests/quotatest.cpp
+++ b/src/serving/tests/quotatest.cpp
@@ -370,3 +370,19 @@
   }
   DOUBLES_EQUAL(0.825, share.of(52, now), 1e-9);
 }
+
+// Guards against a store outage that takes the quota away from hosts that are still
+// connected to the former leader.
+TEST(QuotaShare, LeaderLosesLease_GoesOnForConnectedHosts)
+{
+  share.setLeading(true, now);
+  share.record(3, false, now);
+  share.of(3, now);
+  now += 10s;
+  const double before = share.of(3, now);
+  share.setLeading(false, now);
+  DOUBLES_EQUAL(before, share.of(3, now), 1e-9);
+  DOUBLES_EQUAL(before / 3, share.of(1, now), 1e-9);
+  now += serving::QuotaShare::kFormerLeaderTime;
+  DOUBLES_EQUAL(before / 2, share.of(3, now), 1e-9);
+}
