Ask the issuer of quotas again soon after a denial

Cause: a host kept a denial for as long as the issuer expected, up to 8 s. After a change of the leader few hosts are connected, so its share is small and the expected time long. A start with an organisation of a low rate showed the same. Change: a denial holds for 400 ms at most; the Retry-After of callers is unchanged. Result: test-serving -g Quota passes, with a new test of the case.

--- a/src/serving/internal/quotaledger.cpp
+++ b/src/serving/internal/quotaledger.cpp
@@ -247,10 +247,10 @@
   if (mIssuer.empty() && mIssuerLost && aNow - *mIssuerLost >= kNextIssuerTime) {
     return QuotaDenial{ aOrganisation, ownRoomIn(*account), 0 };
   }
-  if (!mIssuer.empty() && aCost >= account->deniedCost &&
-      aNow + QuotaIssuer::kMaxWait < account->deniedUntil) {
+  if (!mIssuer.empty() && aCost >= account->deniedCost && aNow < account->deniedUntil &&
+      aNow + QuotaIssuer::kMaxWait < account->deniedRoomAt) {
     // The issuer would deny it.
-    return QuotaDenial{ aOrganisation, account->deniedUntil - aNow, 0 };
+    return QuotaDenial{ aOrganisation, account->deniedRoomAt - aNow, 0 };
   }
   const auto id = ++mLastId;
   account->waiting.push_back({ id, aCost, aUntil });
@@ -493,7 +493,8 @@
     return;
   }
   const double cost = waiting.front().cost;
-  account->deniedUntil = aNow + aDenial.roomIn;
+  account->deniedUntil = aNow + std::min(aDenial.roomIn, QuotaLedger::kDenialTime);
+  account->deniedRoomAt = aNow + aDenial.roomIn;
   account->deniedCost = cost;
   // Smaller ones may have room.
   std::list<Waiting> smaller;
--- a/src/serving/quotaledger.h
+++ b/src/serving/quotaledger.h
@@ -36,6 +36,11 @@
   static constexpr Duration kRepeatTime = 200ms;
   /// An issuer that has not answered for this long is taken for lost.
   static constexpr Duration kSilence = 2 * kRepeatTime;
+  /// Time for which a denial by the issuer also holds for later requests. The room that
+  /// the issuer expects can come seconds earlier, since its share grows while hosts
+  /// connect to it after a change of the leader, and others give back what they do not
+  /// use.
+  static constexpr Duration kDenialTime = 400ms;
   /// Part of its equal share that a host uses without an issuer, since hosts differ in
   /// how many others they know of.
   static constexpr double kUsedShare = 0.5;
@@ -132,7 +137,8 @@
     double requestsPerSecond = 0;
     Instant used{};
     // Latest denial by the issuer.
-    Instant deniedUntil{};
+    Instant deniedUntil{};  // requests are denied here without asking again
+    Instant deniedRoomAt{}; // the issuer expected room then
     Instant denied{};
     double deniedCost = 0;
     // Share without an issuer.
--- a/src/serving/tests/quotatest.cpp
+++ b/src/serving/tests/quotatest.cpp
@@ -268,6 +268,18 @@
   CHECK_TRUE(std::holds_alternative<QuotaLedger::Waits>(admit(1'600)));
 }
 
+// Guards against requests that are denied for seconds after a change of the leader: the
+// new one expects room late while few hosts are connected to it, and soon has far more.
+TEST(QuotaLedger, DeniedForSeconds_IssuerIsAskedAgain)
+{
+  CHECK_TRUE(std::holds_alternative<QuotaLedger::Waits>(admit(1'000)));
+  ledger.deny({ kName, 8s, send() }, now);
+  ledger.takeDecisions();
+  now += QuotaLedger::kDenialTime;
+  CHECK_TRUE(std::holds_alternative<QuotaLedger::Waits>(admit(1'000)));
+  CHECK_TRUE(send() > 0);
+}
+
 // Guards against a message for each request of a busy organisation.
 TEST(QuotaLedger, ManyRequests_FewQuotaRequests)
 {
