Use the quota of hosts that lost the store after the bound on keys

Cause: while hosts are missing at the leader, it keeps back their part of the quotas for 30 s, for a former leader that may issue to them. Change: both times end with the bound, if there is one. Result: test-serving -g QuotaShare passes, with a new test of the case.

--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -125,6 +125,7 @@
   , mDemandReportCall(aDependencies.loop, [this] { reportDemand(); })
   , mPermitExchangeCall(aDependencies.loop, [this] { exchangePermits(); })
   , mReportTimes(std::uniform_int_distribution<std::uint64_t>(0, kMaxTerm)(mRandom))
+  , mQuotaShare(aSettings.keyConfirmationTime)
 {
 }
 
--- a/src/serving/internal/quotashare.cpp
+++ b/src/serving/internal/quotashare.cpp
@@ -35,10 +35,16 @@
     aKnown ? 0 : 1 - std::min(1.0, mCount / double{ QuotaLedger::kUnknownHostCount });
   const double served = static_cast<double>(aServed) / std::max({ 1U, aServed, mCount }) *
                         (1 - unseen * QuotaLedger::kUsedShare);
-  const bool lately = aNow - *mLeadingChanged < kFormerLeaderTime;
+  const bool lately = aNow - *mLeadingChanged < bounded(kFormerLeaderTime);
   return lately ? served : served * QuotaLedger::kUsedShare;
 }
 
+Duration
+QuotaShare::bounded(Duration aTime) const
+{
+  return mKeyBound > Duration::zero() ? std::min(aTime, mKeyBound) : aTime;
+}
+
 double
 QuotaShare::of(std::uint32_t aServed, Instant aNow)
 {
@@ -55,7 +61,7 @@
     return 1;
   }
   mMissingSince = mMissingSince.value_or(aNow);
-  if (aNow - *mMissingSince < (known ? kMissingTime : kSettlingTime)) {
+  if (aNow - *mMissingSince < (known ? bounded(kMissingTime) : kSettlingTime)) {
     return served;
   }
   return 1 - (1 - served) * QuotaLedger::kUsedShare;
--- a/src/serving/quotashare.h
+++ b/src/serving/quotashare.h
@@ -30,6 +30,22 @@
   /// seen may run and use a share of their own.
   static constexpr Duration kSettlingTime = 3s;
 
+  /// `aKeyBound`: time for which hosts accept keys without a confirmation of the
+  /// configuration; zero: no bound. Load pattern: a third of the hosts, with the leader
+  /// among them, loses the store for seconds, and its callers go to the others. Hosts
+  /// that reach neither the store nor a leader that reaches it refuse requests with keys
+  /// after the bound and spend nothing, so that `kMissingTime` and `kFormerLeaderTime`
+  /// end with it.
+  explicit QuotaShare(Duration aKeyBound)
+    : mKeyBound(aKeyBound)
+  {
+  }
+  /// Without a bound.
+  QuotaShare()
+    : QuotaShare(Duration::zero())
+  {
+  }
+
   /// Records how many hosts exchange demand at this moment. `aStated`: another host that
   /// leads has said so.
   void record(std::uint32_t aCount, bool aStated, Instant aNow);
@@ -46,6 +62,9 @@
 private:
   double ofFormerLeader(std::uint32_t aServed, bool aKnown, Instant aNow) const;
 
+  Duration bounded(Duration aTime) const;
+
+  Duration mKeyBound;
   std::uint32_t mCount = 0;
   Instant mCountSeen{};
   bool mStated = false;
--- a/src/serving/tests/quotatest.cpp
+++ b/src/serving/tests/quotatest.cpp
@@ -383,6 +383,26 @@
   DOUBLES_EQUAL(0.825, share.of(52, now), 1e-9);
 }
 
+// Guards against hosts that refuse requests within the quota while the part of those that
+// lost the store lies unused: these have no confirmation of the configuration any more.
+TEST(QuotaShare, KeysNeedConfirmation_ShareOfCutOffHostsIsUsedAfterBound)
+{
+  constexpr Duration kBound = 5s;
+  serving::QuotaShare former(kBound);
+  serving::QuotaShare later(kBound);
+  former.record(80, true, now);
+  former.setLeading(true, now);
+  former.setLeading(false, now);
+  later.record(80, true, now);
+  later.setLeading(true, now);
+  for (const Instant end = now + kBound; now < end; now += 500ms) {
+    CHECK_TRUE(later.of(52, now) + former.of(28, now) <= 1 + 1e-9);
+    DOUBLES_EQUAL(0.65, later.of(52, now), 1e-9);
+  }
+  DOUBLES_EQUAL(0.825, later.of(52, now), 1e-9);
+  DOUBLES_EQUAL(0.175, former.of(28, now), 1e-9);
+}
+
 // Guards against a store outage that takes the quota away from hosts that are still
 // connected to the former leader.
 TEST(QuotaShare, LeaderLosesLease_GoesOnForConnectedHosts)
