--- a/src/link/internal/messageparser.cpp
+++ b/src/link/internal/messageparser.cpp
@@ -6,6 +6,10 @@
 
 struct MessageParser::Callbacks
 {
+  // The colon and the line feed of a header line, and a name of one character.
+  static constexpr std::size_t kLineEndBytes = 2;
+  static constexpr std::size_t kMinLineBytes = kLineEndBytes + 1;
+
   static MessageParser& self(http_parser* aParser)
   {
     return *static_cast<MessageParser*>(aParser->data);
@@ -33,6 +37,11 @@
       return 0; // trailers are not forwarded
     }
     if (parser.mHeaders.empty() || parser.mInValue) {
+      // Checked early, since short lines take more memory as objects than as text.
+      if (parser.mHeaders.size() * kMinLineBytes > parser.mMaxHeadBytes) {
+        parser.mHeadTooLarge = true;
+        return -1;
+      }
       parser.mHeaders.emplace_back();
       parser.mInValue = false;
     }
@@ -54,7 +63,7 @@
     parser.mHeadDone = true;
     std::size_t bytes = parser.mTarget.size();
     for (const auto& header : parser.mHeaders) {
-      bytes += header.name.size() + header.value.size();
+      bytes += header.name.size() + header.value.size() + kLineEndBytes;
     }
     if (bytes > parser.mMaxHeadBytes) {
       parser.mHeadTooLarge = true;
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -205,6 +205,19 @@
   LONGS_EQUAL(431, handler.rejected);
 }
 
+// Guards against heads whose many short lines are not counted with their ends, and which
+// take twenty times their size as objects.
+TEST(InboundConnection, HeadOfManyShortLinesAboveLimit_Answered431)
+{
+  std::string lines;
+  while (lines.size() < handler.bounds.maxHeadBytes) {
+    lines += "a:\n";
+  }
+  caller->send("GET / HTTP/1.1\r\nHost: a\r\n" + lines + "\r\n");
+  CHECK_TRUE(receives("431"));
+  LONGS_EQUAL(0, handler.requests.size());
+}
+
 TEST(InboundConnection, BodyAboveLimit_Answered413BeforeItArrives)
 {
   handler.bounds.maxBodyBytes = 100;
