Guard a request whose connection fails while it is parsed

Cause: closing a connection releases its body now; if sending 100 Continue failed after the last byte of a request, the request would have been handled without its body. A receive timer could also reject a request again while the first rejection was unsent. Change: a closed connection handles no request; a rejection stops the timer; input that waits behind a request in progress is counted. Small hosts start with at least 16 connections instead of refusing their settings.

--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -16,12 +16,13 @@
 // Below the least value the list would be read more than 16 times a second.
 constexpr IntegerRange kNoticeMs{ 100, 3'600'000 };
 constexpr IntegerRange kConnections{ 1, 1'000'000 };
-constexpr IntegerRange kHostMemoryMb{ 32, 16'000'000 };
+constexpr IntegerRange kHostMemoryMb{ 16, 16'000'000 };
 // Below the least value, one body of 4 MB would not fit beside the reserve.
 constexpr IntegerRange kConnectionMemoryMb{ 8, 16'000'000 };
-constexpr IntegerRange kDescriptors{ 640, 100'000'000 };
+constexpr IntegerRange kDescriptors{ 64, 100'000'000 };
 constexpr std::uint32_t kLeastConnectionMemoryMb = 8;
 constexpr std::uint32_t kKeptDescriptors = 560;
+constexpr std::uint32_t kLeastConnections = 16;
 constexpr IntegerRange kLogRate{ 1024, 100'000'000 };
 constexpr Range<double> kShare{ 0.0, 10.0 };
 constexpr Range<double> kReserve{ 0.0, 1'000'000.0 };
@@ -114,7 +115,8 @@
 std::uint32_t
 maxConnectionsOf(std::uint32_t aMaxDescriptors)
 {
-  return (std::max(aMaxDescriptors, kKeptDescriptors + 5) - kKeptDescriptors) / 5 * 3;
+  const auto free = std::max(aMaxDescriptors, kKeptDescriptors) - kKeptDescriptors;
+  return std::max(kLeastConnections, free / 5 * 3);
 }
 
 std::uint32_t
--- a/src/link/internal/inboundconnection.cpp
+++ b/src/link/internal/inboundconnection.cpp
@@ -172,6 +172,7 @@
     return;
   }
   parseInput();
+  updateCharges();
   if (!mClosed) {
     watchSocket();
   }
@@ -207,6 +208,9 @@
       return;
     }
     flush();
+    if (mClosed) {
+      return; // the body has been released, so the request must not be handled
+    }
     updateCharges();
     if (mMessageComplete) {
       setRequestStage(MemoryAccount::Stage::Waiting);
@@ -304,6 +308,7 @@
   mHandler.requestRejected(aStatus, aReason);
   mRejected = true;
   mMessageComplete = false;
+  mTimer.reset();
   releaseBuffer(mBody);
   releaseBuffer(mInput);
   mRequestActive = true;
