--- a/src/gateway/internal/quotaexchange.cpp
+++ b/src/gateway/internal/quotaexchange.cpp
@@ -13,11 +13,13 @@
 
 using serving::QuotaLedger;
 
-template<typename... T>
-struct Overloaded : T...
+template<typename... Functions>
+struct OutcomeVisitor : Functions...
 {
-  using T::operator()...;
+  using Functions::operator()...;
 };
+template<typename... Functions>
+OutcomeVisitor(Functions...) -> OutcomeVisitor<Functions...>;
 
 // Differs between processes of one host, which may have the same seed.
 std::mt19937_64
@@ -215,15 +217,15 @@
     mExchangeCall.request();
   }
   return std::visit(
-    Overloaded{ [&](const QuotaLedger::Waits& aWaits) -> std::unique_ptr<Pending> {
-                 mCallbacks[aWaits.id] = std::move(aCallback);
-                 wakeAt(now + aMaxWait);
-                 return std::make_unique<WaitingRequest>(*this, aWaits.id);
-               },
-                [&](const auto& aOutcome) -> std::unique_ptr<Pending> {
-                  aCallback(counted(aOrganisation, aOutcome));
-                  return nullptr;
-                } },
+    OutcomeVisitor{ [&](const QuotaLedger::Waits& aWaits) -> std::unique_ptr<Pending> {
+                     mCallbacks[aWaits.id] = std::move(aCallback);
+                     wakeAt(now + aMaxWait);
+                     return std::make_unique<WaitingRequest>(*this, aWaits.id);
+                   },
+                    [&](const auto& aOutcome) -> std::unique_ptr<Pending> {
+                      aCallback(counted(aOrganisation, aOutcome));
+                      return nullptr;
+                    } },
     answer);
 }
 
@@ -232,7 +234,7 @@
                        const QuotaLedger::Outcome& aOutcome)
 {
   return std::visit(
-    Overloaded{
+    OutcomeVisitor{
       [&](const QuotaLedger::Admitted& aAdmitted) -> QuotaOutcome {
         return QuotaCharge{ aOrganisation, aAdmitted.amount, aAdmitted.refundableUntil };
       },
