--- a/src/config/internal/gatewaysettings.cpp
+++ b/src/config/internal/gatewaysettings.cpp
@@ -63,6 +63,7 @@
     mRoot.real("retry_share", mSettings.retryShare, kShare);
     mRoot.real("retry_reserve", mSettings.retryReserve, kReserve);
     readCapacity();
+    mRoot.enumeration("scheduling", mSettings.scheduling);
     mRoot.real("link_mbps", mSettings.linkMbps, kLinkMbps);
     mRoot.finish();
     return std::move(mSettings);
@@ -134,6 +135,12 @@
   return (std::max(aMaxDescriptors, kKeptDescriptors + 5) - kKeptDescriptors) / 5 * 3;
 }
 
+std::uint32_t
+maxUpstreamConnectionsOf(std::uint32_t aMaxDescriptors)
+{
+  return aMaxDescriptors == 0 ? 0 : maxConnectionsOf(aMaxDescriptors) / 3 * 2;
+}
+
 CheckedGatewaySettings
 checkGatewaySettings(const std::string& aName, const std::string& aText)
 {
--- a/src/config/tests/gatewaysettingstest.cpp
+++ b/src/config/tests/gatewaysettingstest.cpp
@@ -81,6 +81,7 @@
   LONGS_EQUAL(0, small.findings.size());
   LONGS_EQUAL(48, small.settings.connectionMemoryMb);
   LONGS_EQUAL(1509, small.settings.maxConnections);
+  LONGS_EQUAL(1006, config::maxUpstreamConnectionsOf(small.settings.maxDescriptors));
   const auto stated = with(R"("host_memory_mb": 512, "max_descriptors": 3075,
                               "connection_memory_mb": 16, "max_connections": 128,)");
   LONGS_EQUAL(16, stated.settings.connectionMemoryMb);
@@ -89,6 +90,20 @@
   CHECK_TRUE(mentions(with(R"("max_descriptors": 100,)"), "max_descriptors"));
 }
 
+TEST(GatewaySettings, Scheduling_NamedOrderOrTodaysOrReported)
+{
+  const auto with = [this](const std::string& aName) {
+    auto text = whole;
+    text.insert(text.rfind('}'), R"(, "scheduling": ")" + aName + "\"");
+    return config::checkGatewaySettings("s", text);
+  };
+  CHECK_TRUE(config::checkGatewaySettings("s", whole).settings.scheduling ==
+             config::Scheduling::PriorityThenAge);
+  CHECK_TRUE(with("in-time-first").settings.scheduling ==
+             config::Scheduling::InTimeFirst);
+  CHECK_TRUE(config::hasErrors(with("fair").findings));
+}
+
 TEST(GatewaySettings, LinkBandwidthAndLeaveNotice_ReadOrReported)
 {
   auto text = whole;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -59,7 +59,7 @@
     , mBudget(mSettings.connectionMemoryMb * kBytesPerMb)
     , mRelieveCall(mDependencies.loop, [this] { relieveMemory(); })
     , mSelector(mSettings.dataCentre, mDependencies.seed)
-    , mPool(mDependencies.loop, {})
+    , mPool(mDependencies.loop, poolOptions(mSettings))
     , mControlClient(mDependencies.loop, mPool)
     , mQuarantine({ mDependencies.loop,
                     mDependencies.log,
@@ -97,12 +97,22 @@
   void drain(std::function<void()> aDone) override;
 
 private:
+  static link::OutboundPool::Options poolOptions(const config::GatewaySettings& aSettings)
+  {
+    link::OutboundPool::Options options;
+    options.maxConnections = config::maxUpstreamConnectionsOf(aSettings.maxDescriptors);
+    return options;
+  }
+
   static RequestScheduler::Options schedulerOptions(
     const config::GatewaySettings& aSettings)
   {
     RequestScheduler::Options options;
     options.retryShare = aSettings.retryShare;
     options.retryReserve = aSettings.retryReserve;
+    if (aSettings.scheduling == config::Scheduling::InTimeFirst) {
+      options.scheduling = serving::InTimeFirst{};
+    }
     return options;
   }
 
@@ -349,7 +359,6 @@
     mLeader->setConfig(table->config());
     mConfirmation.configApplied(mConfigVersion);
     mConfirmationTask->configApplied(table->config());
-    logConfirmation();
     logReadiness();
   }
 }
@@ -592,13 +601,13 @@
   } else {
     mDependencies.log.write(kConfigConfirmed);
   }
-  logReadiness();
 }
 
 void
 GatewayImpl::tick()
 {
   logConfirmation();
+  logReadiness(); // it may have changed with time alone
   std::vector<serving::DirectoryChange> changes;
   mSelector.directory().expire(mDependencies.loop.now(), changes);
   applyChanges(changes);
@@ -701,7 +710,6 @@
   metrics.set("savoryrill_gateway_upstream_connections_opened",
               static_cast<double>(mPool.opened()));
   metrics.set("savoryrill_gateway_ready", ready() ? 1 : 0);
-  metrics.set("savoryrill_gateway_config_unconfirmed", refusesKeys() ? 1 : 0);
   if (const auto age = mConfirmation.age(mDependencies.loop.now())) {
     metrics.set("savoryrill_gateway_config_confirmation_age_ms",
                 static_cast<double>(toMs(*age)));
--- a/src/gateway/internal/quotaexchange.cpp
+++ b/src/gateway/internal/quotaexchange.cpp
@@ -13,13 +13,13 @@
 
 using serving::QuotaLedger;
 
-template<typename... Functions>
-struct OutcomeVisitor : Functions...
+template<typename... T>
+struct Overloaded : T...
 {
-  using Functions::operator()...;
+  using T::operator()...;
 };
-template<typename... Functions>
-OutcomeVisitor(Functions...) -> OutcomeVisitor<Functions...>;
+template<typename... T>
+Overloaded(T...) -> Overloaded<T...>;
 
 // Differs between processes of one host, which may have the same seed.
 std::mt19937_64
@@ -217,15 +217,15 @@
     mExchangeCall.request();
   }
   return std::visit(
-    OutcomeVisitor{ [&](const QuotaLedger::Waits& aWaits) -> std::unique_ptr<Pending> {
-                     mCallbacks[aWaits.id] = std::move(aCallback);
-                     wakeAt(now + aMaxWait);
-                     return std::make_unique<WaitingRequest>(*this, aWaits.id);
-                   },
-                    [&](const auto& aOutcome) -> std::unique_ptr<Pending> {
-                      aCallback(counted(aOrganisation, aOutcome));
-                      return nullptr;
-                    } },
+    Overloaded{ [&](const QuotaLedger::Waits& aWaits) -> std::unique_ptr<Pending> {
+                 mCallbacks[aWaits.id] = std::move(aCallback);
+                 wakeAt(now + aMaxWait);
+                 return std::make_unique<WaitingRequest>(*this, aWaits.id);
+               },
+                [&](const auto& aOutcome) -> std::unique_ptr<Pending> {
+                  aCallback(counted(aOrganisation, aOutcome));
+                  return nullptr;
+                } },
     answer);
 }
 
@@ -234,7 +234,7 @@
                        const QuotaLedger::Outcome& aOutcome)
 {
   return std::visit(
-    OutcomeVisitor{
+    Overloaded{
       [&](const QuotaLedger::Admitted& aAdmitted) -> QuotaOutcome {
         return QuotaCharge{ aOrganisation, aAdmitted.amount, aAdmitted.refundableUntil };
       },
--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -1,11 +1,11 @@
 #include "gateway/internal/requesttask.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gateway/internal/seriesname.h"
 #include "gateway/internal/waitingdecision.h"
 #include "gateway/types/gatewayevents.h"
-#include "serving/admission.h"
 #include "serving/requestcost.h"
 
 namespace savoryrill::gateway {
@@ -291,6 +291,9 @@
       organisation != nullptr || mOwner.organisations() != nullptr;
     parameters.resumeAfter = mEvents.lastId();
     ++mHistory.attempts;
+    if (!std::exchange(mSent, true)) {
+      mOwner.onRequestSent(*this);
+    }
     mContext.selector.recordStart(mAttempt.upstream, now);
     mCaller->setRequestStage(link::MemoryAccount::Stage::Running);
     mAttempt.connection->send(mContext.protocol.writeRequestHead(mRequest, parameters),
@@ -316,6 +319,7 @@
                                 mContext.selector.timeUntilReady(query(), now),
                                 mContext.selector.timeUntilTaken(query(), now),
                                 mContext.selector.leaderIsUnavailable(now) };
+  mModelReadyAt = outlook.readyIn ? std::optional(now + *outlook.readyIn) : std::nullopt;
   if (const auto refusal = refusalOfWaiting(outlook)) {
     refuse(refusal->reason, refusal->retryAfter);
     return;
@@ -324,10 +328,13 @@
     // Checked only when the request first has to wait: the backlog is the delay of a new
     // request, and those that already wait are ahead of new ones.
     const auto backlog = mContext.selector.backlogTime(mDetails.model.model, now);
-    if (engine && !mHeadForwarded && backlog &&
-        !serving::shouldQueue(*backlog, objective() - now)) {
-      refuse(RefusalReason::Overloaded);
-      return;
+    if (engine && !mHeadForwarded && backlog) {
+      const auto assessed = mOwner.assessArrival(*this, *backlog);
+      mAhead = assessed.ahead;
+      if (assessed.decision != serving::ArrivalDecision::Wait) {
+        refuse(RefusalReason::Overloaded);
+        return;
+      }
     }
     mAdmitted = true;
     mContext.log.write(
@@ -336,7 +343,8 @@
         { "model", serving::toString(mDetails.model) },
         { "without_permit",
           std::uint64_t{ mContext.selector.countWithoutPermit(query(), now) } },
-        { "ready_in_ms", outlook.readyIn ? toMs(*outlook.readyIn) : -1 } });
+        { "ready_in_ms", outlook.readyIn ? toMs(*outlook.readyIn) : -1 },
+        { "ahead_ms", toMs(mAhead) } });
   }
   mOwner.onRequestWaiting(*this);
 }
@@ -416,8 +424,11 @@
   }
   const auto delay = aRetryAfter ? aRetryAfter : expectedDelay();
   const bool known = delay && *delay > Duration::zero();
-  const auto refusal =
-    refusalFor(aReason, mHistory.mayHaveRun, known ? delay : std::nullopt);
+  const auto ready_in = known ? delay : std::nullopt;
+  const auto return_in =
+    mHistory.mayHaveRun ? ready_in : mOwner.returnTime(*this, aReason, ready_in);
+  const auto refusal = refusalFor(aReason, mHistory.mayHaveRun, return_in);
+  const auto now = mContext.loop.now();
   mContext.metrics.add(
     seriesOf("savoryrill_gateway_refusals_total", "reason", nameOf(aReason)));
   if (const auto* organisation = mAuthentication.organisation()) {
@@ -431,6 +442,10 @@
                        { "status", std::int64_t{ refusal.status } },
                        { "ran", refusal.mayHaveRun ? "unknown" : "no" },
                        { "ready_in_ms", delay ? toMs(*delay) : -1 },
+                       { "priority", std::uint64_t{ priority() } },
+                       { "ahead_ms", toMs(mAhead) },
+                       { "to_objective_ms", toMs(objective() - now) },
+                       { "caller_leaves_ms", toMs(callerLeavesAt() - now) },
                        { "sends", std::int64_t{ mHistory.attempts } },
                        { "config", mRoutes->config().version },
                        { "after_ms", elapsedMs() } });
--- a/src/gateway/internal/requesttask.h
+++ b/src/gateway/internal/requesttask.h
@@ -24,6 +24,7 @@
 #include "serving/callerauthentication.h"
 #include "serving/configconfirmation.h"
 #include "serving/routetable.h"
+#include "serving/schedulingpolicy.h"
 #include "serving/types/requestdetails.h"
 
 namespace savoryrill::gateway {
@@ -57,6 +58,16 @@
   virtual void onRequestEnded(RequestTask& aRequest) = 0;
   /// An incarnation of an upstream has said in a response that it is about to stop.
   virtual void onUpstreamLeaving(const std::string& aUpstream, std::int64_t aBornMs) = 0;
+  /// The request is sent to an upstream for the first time.
+  virtual void onRequestSent(const RequestTask& aRequest) = 0;
+  /// Decides about a request that has to wait for its model; see `assessArrival`.
+  virtual serving::ArrivalAssessment assessArrival(const RequestTask& aRequest,
+                                                   Duration aBacklog) = 0;
+  /// When the caller of a refused request should return; `aReadyIn` if it needs not be
+  /// spread.
+  virtual std::optional<Duration> returnTime(const RequestTask& aRequest,
+                                             serving::RefusalReason aReason,
+                                             std::optional<Duration> aReadyIn) = 0;
   /// Takes one retry from this host's part of the budget that all hosts share; false if
   /// none is left.
   virtual bool takeRetry(const std::string& aGroup) = 0;
@@ -115,6 +126,32 @@
     return organisation != nullptr ? organisation->priority.value_or(mRoute->priority)
                                    : mRoute->priority;
   }
+  /// Organisation of the caller; empty if it has none.
+  std::string organisation() const
+  {
+    const auto* organisation = mAuthentication.organisation();
+    return organisation != nullptr ? organisation->name : std::string();
+  }
+  const std::string& routeName() const { return mRoute->name; }
+  /// Tokens of the prompt and the maximum number to generate; 0 if not stated.
+  double tokens() const { return double(mDetails.promptTokens) + mDetails.outputTokens; }
+  /// Maximum time until the final response.
+  Duration timeLimit() const { return mDeadline - mArrived; }
+  /// When its model is expected to be loaded; nothing if unknown when it last had to
+  /// wait.
+  std::optional<Instant> modelReadyAt() const { return mModelReadyAt; }
+  bool hadToWait() const { return mAdmitted; }
+  /// True if a part of the response has been forwarded.
+  bool hasBegun() const { return mHeadForwarded; }
+  /// True if an attempt has reached an upstream.
+  bool wasSent() const { return mSent; }
+  /// Of the last attempt. Precondition: `completed()`.
+  Duration timeAtUpstream(Instant aNow) const { return aNow - mAttempt.started; }
+  Duration timeToFirstEvent(Instant aNow) const
+  {
+    return std::max(Duration::zero(),
+                    mStreamTimes.firstEvent().value_or(aNow) - mAttempt.started);
+  }
   Instant arrived() const { return mArrived; }
   /// When the caller gives up if it receives nothing more until then. Callers disconnect
   /// after `callerTimeout` without an event of a stream.
@@ -208,6 +245,9 @@
   Attempt mAttempt;                   // the current one, or else the last one
   link::MemoryCharge mBufferedCharge; // for the body that `mAttempt` holds
   AttemptHistory mHistory;
+  bool mSent = false;
+  std::optional<Instant> mModelReadyAt;
+  Duration mAhead = -1ms; // expected time until it is sent, when it first had to wait
   bool mAdmitted = false; // to the queue, when the request first had to wait
   bool mCompleted = false;
   std::int64_t mWaitedMs = 0;
--- a/src/serving/tests/quotatest.cpp
+++ b/src/serving/tests/quotatest.cpp
@@ -268,6 +268,18 @@
   CHECK_TRUE(std::holds_alternative<QuotaLedger::Waits>(admit(1'600)));
 }
 
+// Guards against requests that are denied for seconds after a change of the leader: the
+// new one expects room late while few hosts are connected to it, and soon has far more.
+TEST(QuotaLedger, DeniedForSeconds_IssuerIsAskedAgain)
+{
+  CHECK_TRUE(std::holds_alternative<QuotaLedger::Waits>(admit(1'000)));
+  ledger.deny({ kName, 8s, send() }, now);
+  ledger.takeDecisions();
+  now += QuotaLedger::kDenialTime;
+  CHECK_TRUE(std::holds_alternative<QuotaLedger::Waits>(admit(1'000)));
+  CHECK_TRUE(send() > 0);
+}
+
 // Guards against a message for each request of a busy organisation.
 TEST(QuotaLedger, ManyRequests_FewQuotaRequests)
 {
@@ -371,6 +383,26 @@
   DOUBLES_EQUAL(0.825, share.of(52, now), 1e-9);
 }
 
+// Guards against hosts that refuse requests within the quota while the part of those that
+// lost the store lies unused: these have no confirmation of the configuration any more.
+TEST(QuotaShare, KeysNeedConfirmation_ShareOfCutOffHostsIsUsedAfterBound)
+{
+  constexpr Duration kBound = 5s;
+  serving::QuotaShare former(kBound);
+  serving::QuotaShare later(kBound);
+  former.record(80, true, now);
+  former.setLeading(true, now);
+  former.setLeading(false, now);
+  later.record(80, true, now);
+  later.setLeading(true, now);
+  for (const Instant end = now + kBound; now < end; now += 500ms) {
+    CHECK_TRUE(later.of(52, now) + former.of(28, now) <= 1 + 1e-9);
+    DOUBLES_EQUAL(0.65, later.of(52, now), 1e-9);
+  }
+  DOUBLES_EQUAL(0.825, later.of(52, now), 1e-9);
+  DOUBLES_EQUAL(0.175, former.of(28, now), 1e-9);
+}
+
 // Guards against a store outage that takes the quota away from hosts that are still
 // connected to the former leader.
 TEST(QuotaShare, LeaderLosesLease_GoesOnForConnectedHosts)
