Let callers over the quota return one after the other

Cause: all callers of an organisation over its quota were told the time until there was room for one request, so most were denied again when they returned. Change: a host tells each caller to return after those that it told before, at its equal share of the rate, within 8 s.

--- a/src/serving/internal/quotaledger.cpp
+++ b/src/serving/internal/quotaledger.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// A caller is not told to return later than after a window.
+constexpr double kMostReturnSeconds = 8;
+
 // Time over which the recent use of an organisation is averaged.
 constexpr Duration kUseTime = 1s;
 // Use for which a host asks ahead. A grant lasts for most of it.
@@ -221,6 +224,20 @@
   return aAccount.amountPerSecond * kept * toSeconds(kAheadTime);
 }
 
+Duration
+QuotaLedger::returnIn(Account& aAccount,
+                      double aCost,
+                      Instant aRoomAt,
+                      Instant aNow) const
+{
+  const Instant at = std::max(aAccount.returnsUntil, aRoomAt);
+  const double rate = aAccount.quota.perSecond / mHostCount;
+  const auto time = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(std::min(aCost / rate, kMostReturnSeconds)));
+  aAccount.returnsUntil = std::min(at + time, aNow + QuotaIssuer::kWindow);
+  return at - aNow;
+}
+
 QuotaLedger::Answer
 QuotaLedger::admit(const std::string& aOrganisation,
                    double aCost,
@@ -250,7 +267,9 @@
   if (!mIssuer.empty() && aCost >= account->deniedCost && aNow < account->deniedUntil &&
       aNow + QuotaIssuer::kMaxWait < account->deniedRoomAt) {
     // The issuer would deny it.
-    return QuotaDenial{ aOrganisation, account->deniedRoomAt - aNow, 0 };
+    return QuotaDenial{ aOrganisation,
+                        returnIn(*account, aCost, account->deniedRoomAt, aNow),
+                        0 };
   }
   const auto id = ++mLastId;
   account->waiting.push_back({ id, aCost, aUntil });
@@ -502,7 +521,9 @@
     if (item.cost >= cost) {
       decide(aDenial.organisation,
              item,
-             QuotaDenial{ aDenial.organisation, aDenial.roomIn, 0 });
+             QuotaDenial{ aDenial.organisation,
+                          returnIn(*account, item.cost, account->deniedRoomAt, aNow),
+                          0 });
     } else {
       smaller.push_back(item);
     }
--- a/src/serving/quotaledger.h
+++ b/src/serving/quotaledger.h
@@ -141,6 +141,7 @@
     Instant deniedRoomAt{}; // the issuer expected room then
     Instant denied{};
     double deniedCost = 0;
+    Instant returnsUntil{}; // callers of denied requests were told to return until then
     // Share without an issuer.
     double own = 0;
     double largest = 0; // cost of a request
@@ -167,6 +168,11 @@
               Instant aNow);
   double ownRate(const Account& aAccount) const;
   Duration ownRoomIn(const Account& aAccount) const;
+  /// When the caller of a denied request should return: once there is room, and after the
+  /// callers that were denied before, at this host's equal share of the rate. Load
+  /// pattern: an organisation sends several times its rate for seconds. If all callers
+  /// return when there is room for one, nearly all are denied again.
+  Duration returnIn(Account& aAccount, double aCost, Instant aRoomAt, Instant aNow) const;
   static void recordUse(Account& aAccount, double aCost, Instant aNow);
   static double aheadOf(const Account& aAccount, Instant aNow);
   void requestAgain(const std::string& aOrganisation, Account& aAccount);
