Do not close a connection as idle while its caller reads a response

Cause: the idle time began when a response was complete here, not when the caller had read it, and its end closed the connection with the unsent part (found in review). Change: the idle time begins again while output is unsent; a caller that has stopped reading is still disconnected by the check of unread output.

--- a/src/link/internal/inboundconnection.cpp
+++ b/src/link/internal/inboundconnection.cpp
@@ -475,6 +475,9 @@
       }
       return;
     }
+    if (had_output && !mRequestActive) {
+      mIdleSince = mLoop.now();
+    }
     if (had_output && mOutputSentCallback) {
       const auto callback = mOutputSentCallback;
       callback();
@@ -609,9 +612,16 @@
   } else {
     mTimer = mLoop.after(limits.idleTimeout, [this] {
       const auto self = shared_from_this();
-      if (!mRequestActive) {
-        close(false, CloseReason::Idle);
+      if (mRequestActive) {
+        return;
+      }
+      if (unsentBytes() > 0) {
+        // A caller that reads a response slowly is not idle. One that has stopped is
+        // disconnected by `checkUnreadOutput`.
+        armTimer();
+        return;
       }
+      close(false, CloseReason::Idle);
     });
   }
 }
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -341,6 +341,24 @@
   CHECK_TRUE(caller->received().find("400") == std::string::npos);
 }
 
+// Guards against a response that is cut by the idle time while its caller still reads it.
+TEST(InboundConnection, ResponseIsReadSlowly_ArrivesWholeAfterIdleTime)
+{
+  handler.bounds.idleTimeout = 100ms;
+  // More than the kernel holds for a caller that does not read.
+  constexpr std::size_t kBytes = 16UL * 1024 * 1024;
+  handler.bounds.maxBodyBytes = kBytes;
+  caller->send("POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+               std::to_string(kBytes) + "\r\n\r\n" + std::string(kBytes, 'x'));
+  CHECK_TRUE(until([&] { return !handler.requests.empty(); }));
+  caller->pause(true);
+  const Instant end = loop->now() + 400ms;
+  until([&] { return loop->now() >= end; });
+  CHECK_FALSE(caller->ended());
+  caller->pause(false);
+  CHECK_TRUE(until([&] { return caller->received().size() >= kBytes; }));
+}
+
 // Guards against a reset that destroys the response to a caller that is still sending.
 TEST(InboundConnection, CallerSendsOnAfterRejection_ReadsResponse)
 {
