Rank incomplete requests by their announced length

Cause: the length in a head that arrived in one read was overwritten by the limit of a body, so small honest requests were refused before large ones (found in review). Change: the announced length is set again when the request begins.

--- a/src/link/internal/inboundconnection.cpp
+++ b/src/link/internal/inboundconnection.cpp
@@ -200,6 +200,10 @@
     if (mAccount && in_message) {
       if (!was_in_message) {
         mAccount->startRequest(mHandler.limits().maxBodyBytes, mLoop.now());
+        if (mParser.length() > 0) {
+          // The head came in one read, and its length is known already.
+          mAccount->setExpectedBytes(static_cast<std::size_t>(mParser.length()));
+        }
       }
       mAccount->recordProgress(taken, mLoop.now());
     }
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -462,6 +462,29 @@
   LONGS_EQUAL(0, budget.bytes());
 }
 
+// Guards against an honest small request that is refused before a large one that has
+// hardly begun, since the length in a head that came in one read did not count.
+TEST(InboundConnection, HeadAndPartOfBodyInOneRead_AnnouncedLengthCounts)
+{
+  link::MemoryBudget budget(8UL * 1024 * 1024);
+  const auto counted_port = testing::freePort();
+  auto counted = std::move(
+    link::Listener::create(*loop, { "127.0.0.1", counted_port }, handler, 16, &budget)
+      .value());
+  const auto sends = [&](std::size_t aLength, std::size_t aPart) {
+    auto connection = RawConnection::connect(*loop, counted_port);
+    connection->send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                     std::to_string(aLength) + "\r\n\r\n" + std::string(aPart, 'x'));
+    return connection;
+  };
+  const auto small = sends(10'000, 8'000);
+  const auto large = sends(4'000'000, 12'000);
+  CHECK_TRUE(until([&] { return budget.bytes(link::MemoryKind::Body) >= 20'000; }));
+  CHECK_TRUE(budget.evictOne(true, loop->now()));
+  CHECK_TRUE(until([&] { return large->received().find("503") != std::string::npos; }));
+  CHECK_TRUE(small->received().empty());
+}
+
 // Guards against a caller that keeps the loop from all others while it sends a body
 // faster than it is read.
 TEST(InboundConnection, BodyComesAsFastAsItIsRead_LoopHandlesOtherEvents)
