Bound the time for which a request waits for its quota

Cause: a request waited for a quarter of its objective, 2 s for an objective of 8 s. A window of a quota counts requests by the time at which callers sent them, so those that queue at a host are paid from grants of a longer time than the window (found in review; by calculation the sum could exceed the allowance above 0.5 s). Change: at most 400 ms.

--- a/src/gateway/internal/requesttask.cpp
+++ b/src/gateway/internal/requesttask.cpp
@@ -20,9 +20,12 @@
 constexpr Duration kResponseGrace = 150ms;
 // Part of the objective for which a request waits for its quota, and the least time: the
 // rest is left for an upstream, and an issuer of quotas responds within a few round
-// trips.
+// trips. A window of a quota counts requests by the time at which callers sent them, so
+// what waits is paid from grants of a longer time; above half a second the sum of a
+// window could exceed the quota.
 constexpr int kQuotaWaitDivisor = 4;
 constexpr Duration kMinQuotaWait = 100ms;
+constexpr Duration kMaxQuotaWait = 400ms;
 
 std::string
 joined(const std::vector<std::string>& aParts)
@@ -139,15 +142,15 @@
     return;
   }
   mState = AwaitingQuota{};
-  auto pending =
-    mContext.quotas->admit(organisation->name,
-                           serving::costOf(mDetails, *organisation->quota),
-                           std::max(kMinQuotaWait, mRoute->objective / kQuotaWaitDivisor),
-                           [weak = weak_from_this()](const QuotaOutcome& aOutcome) {
-                             if (const auto self = weak.lock()) {
-                               self->onQuotaOutcome(aOutcome);
-                             }
-                           });
+  auto pending = mContext.quotas->admit(
+    organisation->name,
+    serving::costOf(mDetails, *organisation->quota),
+    std::clamp(mRoute->objective / kQuotaWaitDivisor, kMinQuotaWait, kMaxQuotaWait),
+    [weak = weak_from_this()](const QuotaOutcome& aOutcome) {
+      if (const auto self = weak.lock()) {
+        self->onQuotaOutcome(aOutcome);
+      }
+    });
   if (auto* awaiting = std::get_if<AwaitingQuota>(&mState)) {
     awaiting->pending = std::move(pending);
   }
