Serve requests behind a withdrawn one, and issue no quota without a configuration

Cause: a request that the host's grants covered stayed behind a larger one that had been withdrawn, and was denied at its deadline. An issuer that has no configuration yet granted every amount (both found in review; the second was not shown by a test). Change: a withdrawal serves what the grants cover; without quotas in force no quota request is answered, and the host that asks uses its own share. Result: the new test of the first failed before and passes; test-adapter -g Quota passes.

--- a/src/gateway/internal/quotaexchange.cpp
+++ b/src/gateway/internal/quotaexchange.cpp
@@ -148,9 +148,10 @@
 {
   const auto now = mDependencies.loop.now();
   const auto role = updateRole();
-  if (role.issues) {
-    // Others would keep back the host's share without the right to issue; the host uses
-    // its own share if it gets no answer.
+  if (role.issues && mLedger.hasQuotas()) {
+    // Others would keep back the host's share without the right to issue, or know no
+    // limit before they have a configuration; the host uses its own share if it gets no
+    // answer.
     applyRequests(aHost, aMessage);
     issue(role.share);
   }
@@ -261,6 +262,7 @@
 {
   if (mCallbacks.erase(aId) > 0) {
     mLedger.withdraw(aId, mDependencies.loop.now());
+    mExchangeCall.request();
   }
 }
 
--- a/src/serving/internal/quotaledger.cpp
+++ b/src/serving/internal/quotaledger.cpp
@@ -296,11 +296,14 @@
     }
     return;
   }
-  auto& waiting = mAccounts.at(found->second).waiting;
-  const auto item = std::ranges::find(waiting, aId, &Waiting::id);
+  const auto organisation = found->second;
+  auto& account = mAccounts.at(organisation);
+  const auto item = std::ranges::find(account.waiting, aId, &Waiting::id);
   mDeadlines.erase({ item->until, aId });
-  waiting.erase(item);
+  account.waiting.erase(item);
   mWaiting.erase(found);
+  // What is held may cover the requests behind it.
+  serveWaiting(organisation, account, aNow);
 }
 
 void
--- a/src/serving/tests/quotatest.cpp
+++ b/src/serving/tests/quotatest.cpp
@@ -298,6 +298,21 @@
   CHECK_TRUE(send() > 0);
 }
 
+// Guards against a request that is denied although the host holds enough for it, since
+// the one before it has been withdrawn.
+TEST(QuotaLedger, FirstWaitingIsWithdrawn_NextIsServed)
+{
+  hold(1'000);
+  const auto large = admit(4'400);
+  const auto small = admit(500);
+  CHECK_TRUE(std::holds_alternative<QuotaLedger::Waits>(small));
+  ledger.withdraw(std::get<QuotaLedger::Waits>(large).id, now);
+  const auto decisions = ledger.takeDecisions();
+  LONGS_EQUAL(1, decisions.size());
+  CHECK_TRUE(decisions[0].id == std::get<QuotaLedger::Waits>(small).id);
+  CHECK_TRUE(std::holds_alternative<QuotaLedger::Admitted>(decisions[0].outcome));
+}
+
 // Guards against a message for each request of a busy organisation.
 TEST(QuotaLedger, ManyRequests_FewQuotaRequests)
 {
