Decide in one place how a host reads the configuration, and log it

The wait of the read of the configuration was set in five places: at the start, by list updates of the leader, by own reads of the list, by a change of leaders, and by the task that confirms keys.

ConfigReadPolicy now holds all inputs and chooses the reader; the task that confirmed keys applies the choice (ConfigReadTask, so far ConfirmationTask). New events: config-reader (4134), read-replaced (4135).

A read in progress that waits for longer than the new reader allows is replaced at once; so far it was replaced after 2 s, or at once for reads that confirm. Otherwise the behaviour is as before.

--- /dev/null
+++ b/src/gateway/internal/configreadtask.cpp
@@ -0,0 +1,201 @@
+#include "gateway/internal/configreadtask.h"
+
+#include "gateway/types/gatewayevents.h"
+
+namespace savoryrill::gateway {
+
+using serving::ConfigReader;
+
+namespace {
+
+struct Timing
+{
+  Duration wait;
+  Duration pause;
+  Duration retryPeriod = Duration::zero();
+};
+
+// Pause between two reads that wait for a change.
+constexpr Duration kPause = 50ms;
+// Maximum wait of a read where nobody tells of newer versions. If its response is lost, a
+// change is noticed later by this and by `TableFollower::kHangMargin`. The sum stays
+// below the time (3 s) after which a host counts as undisturbed again.
+constexpr Duration kAloneWait = 2s;
+// The same where the leader reports the version in force: a newer version than that of
+// this host shows that the read hangs. Less than the minimum time for which a store keeps
+// its history (20 s).
+constexpr Duration kToldWait = 15s;
+// Minimum time between two reads for a newer version reported by the leader.
+constexpr Duration kNewerReadPause = 1s;
+// Wait of reads that confirm. The shorter it is, the more recent is the confirmation,
+// which counts from the start of the read; without any wait, the reads would take up
+// connections that the lease of the leader needs.
+constexpr Duration kConfirmingWait = 20ms;
+// Time between the starts of two reads that confirm: about twice a second by the leader.
+// The confirmations of a follower are then at most about 1 s old, half of the age at
+// which it reads the store itself.
+constexpr Duration kLeaderReadPeriod = 450ms;
+constexpr Duration kOwnReadPeriod = 1s;
+// Period of reads of all rows while the newest row cannot be used, since it may have been
+// damaged on its way.
+constexpr Duration kWholeReadPeriod = 1s;
+
+constexpr const char* kConfirmedSeries = "savoryrill_gateway_config_confirmed";
+
+Timing
+timingOf(ConfigReader aReader)
+{
+  switch (aReader) {
+    case ConfigReader::Alone:
+      return { kAloneWait, kPause };
+    case ConfigReader::Told:
+    case ConfigReader::Confirmed:
+      return { kToldWait, kPause };
+    case ConfigReader::ConfirmsForAll:
+      return { kConfirmingWait, kLeaderReadPeriod - kConfirmingWait, kOwnReadPeriod };
+    case ConfigReader::ConfirmsItself:
+      return { kConfirmingWait, kOwnReadPeriod - kConfirmingWait, kOwnReadPeriod };
+  }
+  return { kAloneWait, kPause };
+}
+
+/// True if a host that begins to read like this must not wait for its next turn.
+bool
+isUrgent(ConfigReader aReader)
+{
+  return aReader == ConfigReader::ConfirmsForAll ||
+         aReader == ConfigReader::ConfirmsItself;
+}
+
+} // namespace
+
+ConfigReadTask::ConfigReadTask(Dependencies aDependencies)
+  : mDependencies(aDependencies)
+{
+  const auto timing = timingOf(mReader);
+  mDependencies.follower.setTiming(timing.wait, timing.pause, timing.retryPeriod);
+}
+
+void
+ConfigReadTask::configApplied(const serving::ServingConfig& aConfig)
+{
+  mNewestUsable = true;
+  mPolicy.setConfirms(aConfig.organisations != nullptr &&
+                      mDependencies.confirmation.bounded());
+  mVersion = aConfig.version;
+  updateReader();
+}
+
+void
+ConfigReadTask::setLeading(bool aLeads)
+{
+  mPolicy.setLeading(aLeads);
+  updateReader();
+  if (aLeads && mReader == ConfigReader::Alone) {
+    // The others follow the version of this host from now on.
+    mDependencies.follower.readNow();
+  }
+}
+
+void
+ConfigReadTask::listTold()
+{
+  mPolicy.setTold(true);
+  updateReader();
+}
+
+void
+ConfigReadTask::listReadStarted()
+{
+  mPolicy.setTold(false);
+  updateReader();
+}
+
+void
+ConfigReadTask::versionReported(std::uint64_t aVersion)
+{
+  const auto now = mDependencies.loop.now();
+  if (aVersion <= mVersion || (mNewerRead && now - *mNewerRead < kNewerReadPause)) {
+    return;
+  }
+  mNewerRead = now;
+  mDependencies.follower.readNow();
+}
+
+void
+ConfigReadTask::storeRegained()
+{
+  mDependencies.follower.readNow();
+}
+
+bool
+ConfigReadTask::readSucceeded(std::uint64_t aVersion, Instant aStarted)
+{
+  if (!mPolicy.confirms() || !mNewestUsable) {
+    return false;
+  }
+  mDependencies.confirmation.confirmed(aVersion, aStarted);
+  mDependencies.metrics.add("savoryrill_gateway_confirmations_total{source=\"store\"}");
+  reportState(mDependencies.loop.now());
+  return true;
+}
+
+void
+ConfigReadTask::confirmedByLeader(std::uint64_t aVersion, Instant aAsOf)
+{
+  if (!mPolicy.confirms()) {
+    return;
+  }
+  mDependencies.confirmation.confirmedByLeader(aVersion, aAsOf);
+  mDependencies.metrics.add("savoryrill_gateway_confirmations_total{source=\"leader\"}");
+  updateReader();
+  reportState(mDependencies.loop.now());
+}
+
+void
+ConfigReadTask::updateReader()
+{
+  const auto reader =
+    mPolicy.reader(mDependencies.confirmation.wantsOwnRead(mDependencies.loop.now()));
+  if (reader == mReader) {
+    return;
+  }
+  mDependencies.log.write(kConfigReader,
+                          { { "reader", nameOf(reader) },
+                            { "before", nameOf(mReader) },
+                            { "version", mVersion },
+                            { "wait_ms", toMs(timingOf(reader).wait) } });
+  mReader = reader;
+  const auto timing = timingOf(reader);
+  mDependencies.follower.setTiming(timing.wait, timing.pause, timing.retryPeriod);
+  if (isUrgent(reader)) {
+    mDependencies.follower.readUnlessReading();
+  }
+}
+
+void
+ConfigReadTask::tick()
+{
+  if (!mPolicy.confirms()) {
+    return;
+  }
+  updateReader();
+  const auto now = mDependencies.loop.now();
+  reportState(now);
+  if (!mNewestUsable && (!mWholeRead || now - *mWholeRead >= kWholeReadPeriod)) {
+    mWholeRead = now;
+    mDependencies.follower.readAllNow();
+  }
+}
+
+void
+ConfigReadTask::reportState(Instant aNow)
+{
+  const bool confirmed = mDependencies.confirmation.valid(aNow);
+  if (mReported != confirmed) {
+    mReported = confirmed;
+    mDependencies.metrics.set(kConfirmedSeries, confirmed ? 1 : 0);
+  }
+}
+
+} // namespace savoryrill::gateway
--- a/src/gateway/internal/confirmationtask.h
+++ b/src/gateway/internal/configreadtask.h
@@ -4,44 +4,54 @@
 #include <optional>
 #include <string>
 
+#include "base/eventlog.h"
 #include "base/metrics.h"
 #include "base/types/time.h"
 #include "event/loop.h"
 #include "gateway/internal/tablefollower.h"
 #include "serving/configconfirmation.h"
+#include "serving/configreadpolicy.h"
 #include "serving/types/servingconfig.h"
 
 namespace savoryrill::gateway {
 
-/// Decides when this host reads the configuration so that it stays confirmed: as the
-/// leader about twice a second for all hosts, otherwise about once a second while no
-/// leader confirms it. Load pattern: a configuration that does not change for hours, with
-/// a hundred hosts, at a store whose requests are paid for; and outages of the store or
-/// of the leader. Changes nothing unless the configuration names organisations and a
-/// bound is set. Not thread safe.
-class ConfirmationTask
+/// Makes this host read the configuration as `serving::ConfigReadPolicy` chooses, and
+/// keeps it confirmed where it holds keys of callers: the leader reads it about twice a
+/// second for all hosts, others about once a second while no leader confirms it. Load
+/// pattern: a configuration that does not change for hours, with a hundred hosts, at a
+/// store whose requests are paid for; and outages of the store or of the leader. Not
+/// thread safe.
+class ConfigReadTask
 {
 public:
   /// Preconditions: all references outlive the task.
   struct Dependencies
   {
     event::Loop& loop;
+    EventLog& log;
     Metrics& metrics;
     TableFollower& follower; // of the configuration
     serving::ConfigConfirmation& confirmation;
   };
 
-  explicit ConfirmationTask(Dependencies aDependencies);
+  explicit ConfigReadTask(Dependencies aDependencies);
 
   /// A configuration has come into force at this host.
   void configApplied(const serving::ServingConfig& aConfig);
   /// Whether the newest row of the configuration that was read can be used. While it
   /// cannot, reads do not confirm the older configuration in force.
   void setNewestUsable(bool aUsable) { mNewestUsable = aUsable; }
-  void setLeading(bool aLeads);
 
-  /// True if confirmations are needed; the task then controls the reads.
-  bool active() const { return mActive; }
+  void setLeading(bool aLeads);
+  /// The leader has sent its list of upstreams to this host.
+  void listTold();
+  /// This host reads the list of upstreams itself, since the leader has not sent it for a
+  /// while.
+  void listReadStarted();
+  /// The leader has `aVersion` in force.
+  void versionReported(std::uint64_t aVersion);
+  /// The store has answered another read after an outage.
+  void storeRegained();
 
   /// A read that began at `aStarted` has shown that the known rows are the newest ones.
   /// Returns true if this confirms the configuration in force.
@@ -52,23 +62,15 @@
   void tick();
 
 private:
-  enum class Reader
-  {
-    Unneeded, // no confirmations
-    Leader,   // this host, for all hosts
-    OwnHost,  // this host, for itself
-    OtherHost // the leader, for this host
-  };
-
-  Reader chooseReader(Instant aNow) const;
   void updateReader();
   void reportState(Instant aNow);
 
   Dependencies mDependencies;
-  bool mActive = false;
-  bool mLeading = false;
+  serving::ConfigReadPolicy mPolicy;
+  serving::ConfigReader mReader = serving::ConfigReader::Alone;
+  std::uint64_t mVersion = 0;        // in force; 0: none
+  std::optional<Instant> mNewerRead; // for a version that the leader reported
   bool mNewestUsable = true;
-  Reader mReader = Reader::Unneeded;
   std::optional<Instant> mWholeRead; // of a row that cannot be used
   std::optional<bool> mReported;
 };
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -4,7 +4,7 @@
 #include <set>
 
 #include "base/types/baseevents.h"
-#include "gateway/internal/confirmationtask.h"
+#include "gateway/internal/configreadtask.h"
 #include "gateway/internal/leadertask.h"
 #include "gateway/internal/quarantinetask.h"
 #include "gateway/internal/quotaexchange.h"
@@ -22,18 +22,6 @@
 
 // Waiting requests are checked on each change, and at least once in this period.
 constexpr Duration kTickPeriod = 50ms;
-// Maximum wait of a long-polling read of the configuration. If its response is lost, a
-// change is noticed later by this and by `TableFollower::kHangMargin`. The sum stays
-// below the time (3 s) after which a host counts as undisturbed again.
-constexpr Duration kConfigWait = 2s;
-// The same while the placement leader reports the configuration version in force: a newer
-// version than that of this host shows that the read hangs. Less than the minimum time
-// for which a store keeps its history (20 s).
-constexpr Duration kConfigWaitWithLeader = 15s;
-// Minimum time between two reads for a newer version reported by the leader.
-constexpr Duration kNewerConfigReadPause = 1s;
-// Pause between two reads of the configuration.
-constexpr Duration kConfigReadPause = 50ms;
 // Age of the known upstream list at which this host reads it again, as a part of the time
 // for which leaving upstreams still serve. The rest of that time is left for the read and
 // for a second one if the first fails. Lower values cost requests to the store and
@@ -125,7 +113,6 @@
   void onUpstreamsChanged(const std::vector<serving::DirectoryChange>& aChanges);
   void onUpstreamReadStarted();
   void onConfigReadConfirmed(Instant aStarted);
-  void readNewerConfig(std::uint64_t aVersion);
   void onLeadershipChanged(bool aLeads);
   Duration ownUpstreamReadPause() const;
   void applyChanges(const std::vector<serving::DirectoryChange>& aChanges);
@@ -163,12 +150,11 @@
   std::unique_ptr<StatusServer> mReadinessServer;
   std::unique_ptr<StatusServer> mMetricsServer;
   std::unique_ptr<TableFollower> mConfigFollower;
-  std::unique_ptr<ConfirmationTask> mConfirmationTask;
+  std::unique_ptr<ConfigReadTask> mConfigReadTask;
   std::unique_ptr<TableFollower> mUpstreamFollower;
   std::unique_ptr<LeaderTask> mLeader;
   std::uint64_t mConfigVersion = 0;
-  std::uint64_t mUnusableConfigRow = 0;    // version of the latest one that was logged
-  std::optional<Instant> mNewerConfigRead; // for a version that the leader reported
+  std::uint64_t mUnusableConfigRow = 0; // version of the latest one that was logged
   serving::UpstreamListChanges mUpstreamListChanges;
   bool mLeading = false;
   bool mUpstreamsKnown = false;
@@ -196,10 +182,10 @@
   };
   handlers.configVersion = [this] { return mConfigVersion; };
   handlers.onConfigVersionReceived = [this](std::uint64_t aVersion) {
-    readNewerConfig(aVersion);
+    mConfigReadTask->versionReported(aVersion);
   };
   handlers.onConfigConfirmed = [this](std::uint64_t aVersion, Instant aAsOf) {
-    mConfirmationTask->confirmedByLeader(aVersion, aAsOf);
+    mConfigReadTask->confirmedByLeader(aVersion, aAsOf);
   };
   handlers.onUpstreamListReceived = [this](const serving::UpstreamListUpdate& aUpdate,
                                            Instant aAsOf) {
@@ -286,8 +272,6 @@
 {
   TableFollower::Options config;
   config.table = mDependencies.recordFormat.configTable();
-  config.wait = kConfigWait;
-  config.pause = kConfigReadPause;
   const auto config_read = [this](const RowSet& aRows) { applyConfigRows(aRows); };
   mConfigFollower = std::make_unique<TableFollower>(
     mDependencies.loop,
@@ -300,8 +284,12 @@
       config_read,
       [this] { mLeader->onConfigReadStarted(); },
       [this](Instant aStarted) { onConfigReadConfirmed(aStarted); } });
-  mConfirmationTask = std::make_unique<ConfirmationTask>(ConfirmationTask::Dependencies{
-    mDependencies.loop, mDependencies.metrics, *mConfigFollower, mConfirmation });
+  mConfigReadTask =
+    std::make_unique<ConfigReadTask>(ConfigReadTask::Dependencies{ mDependencies.loop,
+                                                                   mDependencies.log,
+                                                                   mDependencies.metrics,
+                                                                   *mConfigFollower,
+                                                                   mConfirmation });
   TableFollower::Options upstreams;
   upstreams.table = mDependencies.recordFormat.upstreamTable();
   upstreams.pause = ownUpstreamReadPause();
@@ -318,7 +306,7 @@
       {} });
   // A long-polling read that has hung since an outage would delay changes by its whole
   // wait.
-  mUpstreamFollower->setRecoveryCallback([this] { mConfigFollower->readNow(); });
+  mUpstreamFollower->setRecoveryCallback([this] { mConfigReadTask->storeRegained(); });
   mConfigFollower->start();
   mUpstreamFollower->start();
 }
@@ -335,7 +323,7 @@
       recordUnusableConfig(row, config.error());
       continue;
     }
-    mConfirmationTask->setNewestUsable(true);
+    mConfigReadTask->setNewestUsable(true);
     if (config.value().version <= mConfigVersion) {
       continue; // versions only increase
     }
@@ -358,7 +346,7 @@
     mScheduler.setRoutes(table);
     mLeader->setConfig(table->config());
     mConfirmation.configApplied(mConfigVersion);
-    mConfirmationTask->configApplied(table->config());
+    mConfigReadTask->configApplied(table->config());
     logReadiness();
   }
 }
@@ -366,7 +354,7 @@
 void
 GatewayImpl::recordUnusableConfig(const StoredRow& aRow, const Error& aError)
 {
-  mConfirmationTask->setNewestUsable(false);
+  mConfigReadTask->setNewestUsable(false);
   if (aRow.version != std::exchange(mUnusableConfigRow, aRow.version)) {
     mDependencies.log.write(
       kConfigUnusable, { { "row_version", aRow.version }, { "reason", aError.message } });
@@ -376,7 +364,7 @@
 void
 GatewayImpl::onConfigReadConfirmed(Instant aStarted)
 {
-  if (mConfirmationTask->readSucceeded(mConfigVersion, aStarted)) {
+  if (mConfigReadTask->readSucceeded(mConfigVersion, aStarted)) {
     mLeader->confirmConfig(mConfigVersion);
   }
 }
@@ -417,13 +405,7 @@
     // The known list may come from another leader, without the models that engines hold.
     mUpstreamFollower->readNow();
   }
-  mConfirmationTask->setLeading(aLeads);
-  if (aLeads && !mConfirmationTask->active()) {
-    // No other host tells the leader of newer versions, so it cannot wait for as long as
-    // in its read as a follower, which may hang.
-    mConfigFollower->setWait(kConfigWait);
-    mConfigFollower->readNow();
-  }
+  mConfigReadTask->setLeading(aLeads);
 }
 
 void
@@ -433,15 +415,7 @@
     mLeader->onUpstreamListReadStarted();
     return;
   }
-  if (mConfirmationTask->active()) {
-    return; // the leader's confirmations show whether the configuration is read
-  }
-  // The leader has sent no list for a while, so its status cannot show that the
-  // configuration read hangs.
-  mConfigFollower->setWait(kConfigWait);
-  if (mDependencies.loop.now() - mConfigFollower->readStarted() > kConfigWait) {
-    mConfigFollower->readNow();
-  }
+  mConfigReadTask->listReadStarted();
 }
 
 void
@@ -500,9 +474,7 @@
   mSelector.directory().readSucceeded(now);
   mUpstreamFollower->confirm(aUpdate.version, aAsOf);
   mDependencies.metrics.add("savoryrill_gateway_list_told_total");
-  if (!mConfirmationTask->active()) {
-    mConfigFollower->setWait(kConfigWaitWithLeader);
-  }
+  mConfigReadTask->listTold();
   if (!changes.empty()) {
     onUpstreamsChanged(changes);
   }
@@ -516,18 +488,6 @@
   logReadiness();
 }
 
-void
-GatewayImpl::readNewerConfig(std::uint64_t aVersion)
-{
-  const auto now = mDependencies.loop.now();
-  if (aVersion <= mConfigVersion ||
-      (mNewerConfigRead && now - *mNewerConfigRead < kNewerConfigReadPause)) {
-    return;
-  }
-  mNewerConfigRead = now;
-  mConfigFollower->readNow();
-}
-
 void
 GatewayImpl::applyChanges(const std::vector<serving::DirectoryChange>& aChanges)
 {
@@ -611,7 +571,7 @@
   std::vector<serving::DirectoryChange> changes;
   mSelector.directory().expire(mDependencies.loop.now(), changes);
   applyChanges(changes);
-  mConfirmationTask->tick();
+  mConfigReadTask->tick();
   sendWaiting();
   if (mDrainStarted) {
     continueDrain();
--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -66,7 +66,7 @@
   if (mOptions.wait > Duration::zero() && mOptions.retryPeriod == Duration::zero()) {
     mHangTimer = mLoop.after(mOptions.wait + kHangMargin, [this] {
       recordFailure({ ErrorCode::OutcomeUnknown, "no response to a waiting read" });
-      read();
+      replaceRead("no-response");
     });
   }
   mStore.readChanges(mOptions.table,
@@ -135,13 +135,8 @@
 {
   mTimer.reset();
   mHangTimer.reset();
-  if (mReading && mReadWaits) {
-    // The result of the replaced read is ignored. It would take up a connection until its
-    // timeout, and no further read could begin once all are taken.
-    mStore.cancelWaitingReads(mOptions.table);
-  }
   mReading = true;
-  mReadWaits = mOptions.wait > Duration::zero();
+  mReadWait = mNeedsAllRows ? Duration::zero() : mOptions.wait;
   mReadStarted = mLoop.now();
   mReadCheck.readStarted(mReadStarted, mStore.newestVersion());
   ++mReadId;
@@ -155,17 +150,44 @@
   }
 }
 
+/// The result of a read that is replaced is ignored.
 void
-TableFollower::readNow()
+TableFollower::replaceRead(const char* aReason)
 {
+  if (mReading) {
+    mLog.write(kReadReplaced,
+               { { "table", mOptions.table },
+                 { "reason", aReason },
+                 { "age_ms", toMs(mLoop.now() - mReadStarted) },
+                 { "wait_ms", toMs(mReadWait) } });
+  }
+  if (mReading && mReadWait > Duration::zero()) {
+    // It would take up a connection until its timeout, and no further read could begin
+    // once all are taken.
+    mStore.cancelWaitingReads(mOptions.table);
+  }
   read();
 }
 
+void
+TableFollower::readNow()
+{
+  replaceRead("requested");
+}
+
+void
+TableFollower::readUnlessReading()
+{
+  if (!mReading) {
+    read();
+  }
+}
+
 void
 TableFollower::readAllNow()
 {
   mNeedsAllRows = true;
-  read();
+  readNow();
 }
 
 void
@@ -174,6 +196,9 @@
   mOptions.wait = aWait;
   mOptions.pause = aPause;
   mOptions.retryPeriod = aRetryPeriod;
+  if (mReading && mReadWait > aWait) {
+    replaceRead("shorter-wait");
+  }
 }
 
 void
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -64,9 +64,9 @@
 
   /// Changes `Options::pause`; reschedules the next read.
   void setPause(Duration aPause);
-  /// Changes `Options::wait` for later reads.
-  void setWait(Duration aWait) { mOptions.wait = aWait; }
-  /// Changes the options of that name for later reads; reschedules no read.
+  /// Changes the options of that name for later reads. A read in progress that waits for
+  /// longer than `aWait` is replaced at once, since it may have hung; others end by
+  /// themselves. Reschedules no read.
   void setTiming(Duration aWait, Duration aPause, Duration aRetryPeriod);
 
   /// Start of the latest read.
@@ -81,9 +81,13 @@
   void confirm(std::uint64_t aVersion, Instant aAsOf);
 
   /// Reads at once and gives up a read in progress, which may have hung since an outage
-  /// of the store that has ended.
+  /// of the store that has ended. A read that is replaced again and again has no result,
+  /// so callers replace a read only for an event that happened after its start.
   void readNow();
 
+  /// Reads at once if no read is in progress.
+  void readUnlessReading();
+
   /// As `readNow`, but reads all rows.
   void readAllNow();
 
@@ -99,6 +103,7 @@
   void readAfter(Duration aPause);
   void scheduleRead();
   void read();
+  void replaceRead(const char* aReason);
   void confirmRead(const RowSet& aChanges, std::uint64_t aKnown);
   void recordSuccess();
   void recordFailure(const Error& aError);
@@ -113,7 +118,7 @@
   std::optional<std::uint64_t> mVersion;
   bool mNeedsAllRows = true;
   bool mReading = false;
-  bool mReadWaits = false; // the read in progress may wait for a change
+  Duration mReadWait = Duration::zero(); // for a change, of the latest read
   serving::TableReadCheck mReadCheck;
   Instant mReadStarted{};
   std::optional<Instant> mKnownAsOf; // the known state is this recent or newer
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -190,6 +190,21 @@
   "This host gets its part of the quotas of organisations from `issuer`; empty: it uses "
   "a share of its own."
 };
+inline constexpr EventDefinition kConfigReader{
+  4134,
+  Severity::Info,
+  "config-reader",
+  "This host follows the configuration in another way, waiting up to `wait_ms` for a "
+  "change; `reader` says how."
+};
+inline constexpr EventDefinition kReadReplaced{
+  4135,
+  Severity::Info,
+  "read-replaced",
+  "A read of a table of the platform's store was given up for another one, `age_ms` "
+  "after "
+  "its start."
+};
 inline constexpr EventDefinition kConfigFinding{
   4140,
   Severity::Warning,
