Let the store respond before a read for a newer version is repeated

Cause: each status of the leader, every 0.6 s, replaced the read in progress once it was 1 s old. A read that takes longer than the pause between two replacements never has a result. The same through the callback for a store that answers again, which replaced reads that began after the answer.

Change: a host whose leader has reported a newer version reads as 'behind': with a short wait, so that the read ends by the timeout of the store client like all other calls, and nothing replaces it before. The callback replaces only reads that began before the answered one. After four reads without the version the host stops reading for its sake.

--- a/src/gateway/internal/configreadtask.cpp
+++ b/src/gateway/internal/configreadtask.cpp
@@ -25,8 +25,11 @@
 // this host shows that the read hangs. Less than the minimum time for which a store keeps
 // its history (20 s).
 constexpr Duration kToldWait = 15s;
-// Minimum time between two reads for a newer version reported by the leader.
-constexpr Duration kNewerReadPause = 1s;
+// A version that the leader has in force is in the store, so the response needs no wait.
+// The read fails by the timeout of the store client, as all other calls do, and is not
+// replaced before: a store that takes 1 s would otherwise never get to respond.
+constexpr Duration kBehindWait = 300ms;
+constexpr Duration kBehindReadPeriod = 1s;
 // Wait of reads that confirm. The shorter it is, the more recent is the confirmation,
 // which counts from the start of the read; without any wait, the reads would take up
 // connections that the lease of the leader needs.
@@ -51,6 +54,8 @@
     case ConfigReader::Told:
     case ConfigReader::Confirmed:
       return { kToldWait, kPause };
+    case ConfigReader::Behind:
+      return { kBehindWait, kBehindReadPeriod - kBehindWait, kBehindReadPeriod };
     case ConfigReader::ConfirmsForAll:
       return { kConfirmingWait, kLeaderReadPeriod - kConfirmingWait, kOwnReadPeriod };
     case ConfigReader::ConfirmsItself:
@@ -63,7 +68,7 @@
 bool
 isUrgent(ConfigReader aReader)
 {
-  return aReader == ConfigReader::ConfirmsForAll ||
+  return aReader == ConfigReader::Behind || aReader == ConfigReader::ConfirmsForAll ||
          aReader == ConfigReader::ConfirmsItself;
 }
 
@@ -82,10 +87,19 @@
   mNewestUsable = true;
   mPolicy.setConfirms(aConfig.organisations != nullptr &&
                       mDependencies.confirmation.bounded());
-  mVersion = aConfig.version;
+  mPolicy.versionApplied(aConfig.version);
   updateReader();
 }
 
+void
+ConfigReadTask::readHandled()
+{
+  if (mReader == ConfigReader::Behind) {
+    mPolicy.reportedVersionMissed();
+    updateReader();
+  }
+}
+
 void
 ConfigReadTask::setLeading(bool aLeads)
 {
@@ -114,18 +128,14 @@
 void
 ConfigReadTask::versionReported(std::uint64_t aVersion)
 {
-  const auto now = mDependencies.loop.now();
-  if (aVersion <= mVersion || (mNewerRead && now - *mNewerRead < kNewerReadPause)) {
-    return;
-  }
-  mNewerRead = now;
-  mDependencies.follower.readNow();
+  mPolicy.versionReported(aVersion);
+  updateReader();
 }
 
 void
-ConfigReadTask::storeRegained()
+ConfigReadTask::storeRegained(Instant aStarted)
 {
-  mDependencies.follower.readNow();
+  mDependencies.follower.readNowUnlessBegunSince(aStarted);
 }
 
 bool
@@ -163,7 +173,8 @@
   mDependencies.log.write(kConfigReader,
                           { { "reader", nameOf(reader) },
                             { "before", nameOf(mReader) },
-                            { "version", mVersion },
+                            { "version", mPolicy.applied() },
+                            { "reported", mPolicy.reported() },
                             { "wait_ms", toMs(timingOf(reader).wait) } });
   mReader = reader;
   const auto timing = timingOf(reader);
--- a/src/gateway/internal/configreadtask.h
+++ b/src/gateway/internal/configreadtask.h
@@ -41,6 +41,8 @@
   /// Whether the newest row of the configuration that was read can be used. While it
   /// cannot, reads do not confirm the older configuration in force.
   void setNewestUsable(bool aUsable) { mNewestUsable = aUsable; }
+  /// A read has succeeded and its rows have been handled.
+  void readHandled();
 
   void setLeading(bool aLeads);
   /// The leader has sent its list of upstreams to this host.
@@ -50,8 +52,8 @@
   void listReadStarted();
   /// The leader has `aVersion` in force.
   void versionReported(std::uint64_t aVersion);
-  /// The store has answered another read after an outage.
-  void storeRegained();
+  /// The store has answered another read, which began at `aStarted`, after an outage.
+  void storeRegained(Instant aStarted);
 
   /// A read that began at `aStarted` has shown that the known rows are the newest ones.
   /// Returns true if this confirms the configuration in force.
@@ -68,8 +70,6 @@
   Dependencies mDependencies;
   serving::ConfigReadPolicy mPolicy;
   serving::ConfigReader mReader = serving::ConfigReader::Alone;
-  std::uint64_t mVersion = 0;        // in force; 0: none
-  std::optional<Instant> mNewerRead; // for a version that the leader reported
   bool mNewestUsable = true;
   std::optional<Instant> mWholeRead; // of a row that cannot be used
   std::optional<bool> mReported;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -272,7 +272,10 @@
 {
   TableFollower::Options config;
   config.table = mDependencies.recordFormat.configTable();
-  const auto config_read = [this](const RowSet& aRows) { applyConfigRows(aRows); };
+  const auto config_read = [this](const RowSet& aRows) {
+    applyConfigRows(aRows);
+    mConfigReadTask->readHandled();
+  };
   mConfigFollower = std::make_unique<TableFollower>(
     mDependencies.loop,
     mDependencies.store,
@@ -306,7 +309,8 @@
       {} });
   // A long-polling read that has hung since an outage would delay changes by its whole
   // wait.
-  mUpstreamFollower->setRecoveryCallback([this] { mConfigReadTask->storeRegained(); });
+  mUpstreamFollower->setRecoveryCallback(
+    [this] { mConfigReadTask->storeRegained(mUpstreamFollower->readStarted()); });
   mConfigFollower->start();
   mUpstreamFollower->start();
 }
--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -175,6 +175,14 @@
   replaceRead("requested");
 }
 
+void
+TableFollower::readNowUnlessBegunSince(Instant aTime)
+{
+  if (!mReading || mReadStarted < aTime) {
+    readNow();
+  }
+}
+
 void
 TableFollower::readUnlessReading()
 {
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -85,6 +85,9 @@
   /// so callers replace a read only for an event that happened after its start.
   void readNow();
 
+  /// As `readNow`, but leaves a read in progress that began at `aTime` or later.
+  void readNowUnlessBegunSince(Instant aTime);
+
   /// Reads at once if no read is in progress.
   void readUnlessReading();
 
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -195,7 +195,7 @@
   Severity::Info,
   "config-reader",
   "This host follows the configuration in another way, waiting up to `wait_ms` for a "
-  "change; `reader` says how."
+  "change; `reader` says how, `reported` is the newest version that a leader reported."
 };
 inline constexpr EventDefinition kReadReplaced{
   4135,
--- a/src/serving/tests/configreadpolicytest.cpp
+++ b/src/serving/tests/configreadpolicytest.cpp
@@ -40,3 +40,36 @@
   expect(ConfigReader::ConfirmsForAll, true);
   expect(ConfigReader::ConfirmsForAll);
 }
+
+// Guards against a host that keeps an old configuration although the leader has reported
+// a newer one.
+TEST(ConfigReadPolicy, LeaderReportsNewerVersion_ReadsItUntilItApplies)
+{
+  policy.setTold(true);
+  policy.versionApplied(3);
+  policy.versionReported(3);
+  expect(ConfigReader::Told);
+  policy.versionReported(7);
+  policy.versionReported(5);
+  expect(ConfigReader::Behind);
+  policy.setTold(false);
+  expect(ConfigReader::Behind);
+  policy.versionApplied(7);
+  expect(ConfigReader::Alone);
+}
+
+// Guards against a store that all hosts read several times a second for a version that
+// only the leader can use.
+TEST(ConfigReadPolicy, ReportedVersionIsMissedAgainAndAgain_ReadsAloneUntilAnotherOne)
+{
+  policy.setTold(true);
+  policy.versionApplied(3);
+  policy.versionReported(7);
+  for (int miss = 0; miss < 4; ++miss) {
+    expect(ConfigReader::Behind);
+    policy.reportedVersionMissed();
+  }
+  expect(ConfigReader::Alone);
+  policy.versionReported(8);
+  expect(ConfigReader::Behind);
+}
