Read changes again that a response stated without their rows

Cause: a waiting read ends as the change arrives. The response holds no rows, but the newest version, which is that of the change. The host reads on from there, so the change is never read.

Change: without a row, a response counts up to the version that the store had stated before the read began; with rows, up to the highest of them. Changes in between are read again.

Test: GatewayPair ResponseStatesVersionBeforeItsRow_... and TableFollowerConfirms EmptyResponseStatesNewerVersion_... failed before (no version 4 at the leader after 3 s; next read after 107 instead of 100) and pass (x86_64).

--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -91,7 +91,7 @@
                        }
                        recordSuccess();
                        const auto known = *mVersion;
-                       mVersion = std::max(known, aRows.value().version);
+                       mVersion = std::max(known, coveredVersion(aRows.value()));
                        mKnownAsOf = mReadStarted;
                        mHandlers.onChanges(aRows.value());
                        confirmRead(aRows.value(), known);
@@ -111,6 +111,20 @@
   }
 }
 
+/// The version up to which a read of changes has shown all of them. If a change arrives
+/// as the wait ends, a response may hold the newest version and not yet the change.
+/// Certain are the versions of its rows, and those that the store had stated before the
+/// read.
+std::uint64_t
+TableFollower::coveredVersion(const RowSet& aChanges) const
+{
+  auto covered = mNewestAtStart;
+  for (const auto& row : aChanges.rows) {
+    covered = std::max(covered, row.version);
+  }
+  return std::min(covered, aChanges.version);
+}
+
 void
 TableFollower::readAfter(Duration aPause)
 {
@@ -138,7 +152,8 @@
   mReading = true;
   mReadWait = mNeedsAllRows ? Duration::zero() : mOptions.wait;
   mReadStarted = mLoop.now();
-  mReadCheck.readStarted(mReadStarted, mStore.newestVersion());
+  mNewestAtStart = mStore.newestVersion();
+  mReadCheck.readStarted(mReadStarted, mNewestAtStart);
   ++mReadId;
   if (mHandlers.onReadStarted) {
     mHandlers.onReadStarted();
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -108,6 +108,7 @@
   void read();
   void replaceRead(const char* aReason);
   void confirmRead(const RowSet& aChanges, std::uint64_t aKnown);
+  std::uint64_t coveredVersion(const RowSet& aChanges) const;
   void recordSuccess();
   void recordFailure(const Error& aError);
   void scheduleRetry();
@@ -124,6 +125,7 @@
   Duration mReadWait = Duration::zero(); // for a change, of the latest read
   serving::TableReadCheck mReadCheck;
   Instant mReadStarted{};
+  std::uint64_t mNewestAtStart = 0;  // version in the store's responses before the read
   std::optional<Instant> mKnownAsOf; // the known state is this recent or newer
   std::uint64_t mReadId = 0;         // of the latest read; results of others are ignored
   std::function<void()> mRecoveryCallback;
