Read a configuration again whose row was damaged on its way

What callers saw: a host keeps the old configuration until the next one is written, if the row could not be decoded once. Only hosts that confirm keys read such a row again.

Cause: a read of changes returns each change once, and the row counts as known although it could not be used.

Change: a host that is behind the version of its leader, and whose read of changes has not brought it, reads all rows next.

Not shown: a leader whose row is damaged; it has nobody that reports a newer version.

--- a/src/gateway/internal/configreadtask.cpp
+++ b/src/gateway/internal/configreadtask.cpp
@@ -92,11 +92,16 @@
 }
 
 void
-ConfigReadTask::readHandled()
+ConfigReadTask::readHandled(bool aAllRows)
 {
-  if (mReader == ConfigReader::Behind) {
-    mPolicy.reportedVersionMissed();
-    updateReader();
+  if (mReader != ConfigReader::Behind) {
+    return;
+  }
+  mPolicy.reportedVersionMissed();
+  updateReader();
+  if (mReader == ConfigReader::Behind && !aAllRows) {
+    // The changes no longer hold a row that was damaged on its way.
+    mDependencies.follower.requireAllRows();
   }
 }
 
--- a/src/gateway/internal/configreadtask.h
+++ b/src/gateway/internal/configreadtask.h
@@ -41,8 +41,8 @@
   /// Whether the newest row of the configuration that was read can be used. While it
   /// cannot, reads do not confirm the older configuration in force.
   void setNewestUsable(bool aUsable) { mNewestUsable = aUsable; }
-  /// A read has succeeded and its rows have been handled.
-  void readHandled();
+  /// A read of all rows, or of the changes, has succeeded and its rows have been handled.
+  void readHandled(bool aAllRows);
 
   void setLeading(bool aLeads);
   /// The leader has sent its list of upstreams to this host.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -272,9 +272,13 @@
 {
   TableFollower::Options config;
   config.table = mDependencies.recordFormat.configTable();
-  const auto config_read = [this](const RowSet& aRows) {
+  const auto all_read = [this](const RowSet& aRows) {
     applyConfigRows(aRows);
-    mConfigReadTask->readHandled();
+    mConfigReadTask->readHandled(true);
+  };
+  const auto changes_read = [this](const RowSet& aRows) {
+    applyConfigRows(aRows);
+    mConfigReadTask->readHandled(false);
   };
   mConfigFollower = std::make_unique<TableFollower>(
     mDependencies.loop,
@@ -283,8 +287,8 @@
     mDependencies.metrics,
     config,
     TableFollower::Handlers{
-      config_read,
-      config_read,
+      all_read,
+      changes_read,
       [this] { mLeader->onConfigReadStarted(); },
       [this](Instant aStarted) { onConfigReadConfirmed(aStarted); } });
   mConfigReadTask =
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -94,6 +94,9 @@
   /// As `readNow`, but reads all rows.
   void readAllNow();
 
+  /// Makes the next read one of all rows; reschedules no read.
+  void requireAllRows() { mNeedsAllRows = true; }
+
   /// Sets a callback that runs when a read succeeds after a failed one.
   void setRecoveryCallback(std::function<void()> aCallback)
   {
