Keep a read of all rows when another one is requested

While the newest row of the configuration cannot be used, all rows are read once a second. Each read replaced the one before, so at a store that takes 1 s or longer no read ever had a result, and the host refused requests with keys. Replaced reads also kept their connections until their timeout, up to two of the three that the leader's lease and the list of upstreams use.

Change: a read of all rows in progress is left; it ends by the timeout of the store client.

--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -150,6 +150,7 @@
   mTimer.reset();
   mHangTimer.reset();
   mReading = true;
+  mReadsAllRows = mNeedsAllRows;
   mReadWait = mNeedsAllRows ? Duration::zero() : mOptions.wait;
   mReadStarted = mLoop.now();
   mNewestAtStart = mStore.newestVersion();
@@ -209,6 +210,9 @@
 void
 TableFollower::readAllNow()
 {
+  if (mReading && mReadsAllRows) {
+    return;
+  }
   mNeedsAllRows = true;
   readNow();
 }
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -91,7 +91,8 @@
   /// Reads at once if no read is in progress.
   void readUnlessReading();
 
-  /// As `readNow`, but reads all rows.
+  /// As `readNow`, but reads all rows. Leaves a read of all rows that is in progress,
+  /// which ends by the timeout of the store.
   void readAllNow();
 
   /// Makes the next read one of all rows; reschedules no read.
@@ -125,6 +126,7 @@
   std::optional<std::uint64_t> mVersion;
   bool mNeedsAllRows = true;
   bool mReading = false;
+  bool mReadsAllRows = false;            // the latest read
   Duration mReadWait = Duration::zero(); // for a change, of the latest read
   serving::TableReadCheck mReadCheck;
   Instant mReadStarted{};
