--- a/src/link/internal/outboundconnection.cpp
+++ b/src/link/internal/outboundconnection.cpp
@@ -499,6 +499,13 @@
   return open;
 }
 
+std::size_t
+OutboundPool::open(const std::string& aKey) const
+{
+  const auto found = mEntries.find(aKey);
+  return found == mEntries.end() ? 0 : found->second.open;
+}
+
 void
 OutboundPool::closeExpired()
 {
--- a/src/link/internal/requestclient.cpp
+++ b/src/link/internal/requestclient.cpp
@@ -23,9 +23,13 @@
     auto pooled =
       mClient.mPool.take(mRequest.key, mRequest.endpoint, mRequest.maxConnections);
     if (!pooled.connection) {
-      mClient.mLoop.post([weak = weak_from_this()] {
+      const bool full = mClient.mPool.open(mRequest.key) >= mRequest.maxConnections;
+      std::string reason = full ? "all " + std::to_string(mRequest.maxConnections) +
+                                    " connections of " + mRequest.key + " are in use"
+                                : "no connection is available";
+      mClient.mLoop.post([weak = weak_from_this(), reason = std::move(reason)] {
         if (const auto self = weak.lock()) {
-          self->end(fail(ErrorCode::Unavailable, "no connection is available"));
+          self->end(fail(ErrorCode::Unavailable, reason));
         }
       });
       return;
--- a/src/link/outboundconnection.h
+++ b/src/link/outboundconnection.h
@@ -180,6 +180,9 @@
   /// Connections that are open now, idle ones included.
   std::size_t open() const;
 
+  /// The same of one key.
+  std::size_t open(const std::string& aKey) const;
+
   /// Connections opened since the start.
   std::uint64_t opened() const { return mOpened; }
 
