Close idle connections beside one that got no response

Up to three idle ones of a table may be cut off from their peer, and the client used the next of them after each timeout of 1.2 s: three calls lost, 3.6 s in all.

Change: a request that gets no response closes the idle connections of its key. A request that was not sent does not.

Test: StoreClient IdleConnectionsAreDeadAfterAnOutage_OneCallIsLost failed before (the second call was lost) and passes. test-adapter StoreClient (15), Gateway, test-link (65) pass (x86_64).

--- a/src/link/internal/requestclient.cpp
+++ b/src/link/internal/requestclient.cpp
@@ -38,6 +38,11 @@
     mTimer = mClient.mLoop.after(mRequest.timeout, [this] {
       const bool sent = mConnection->requestStarted();
       mConnection->cancel();
+      if (sent) {
+        // What has cut this connection off from its peer has probably cut off the idle
+        // ones, too; each would cost the next request its whole timeout.
+        mClient.mPool.closeIdle(mRequest.key);
+      }
       end(fail(sent ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
                "no complete response within the timeout"));
     });
