Tell followers of upstreams that a response stated before their rows

The leader reads the row again since, but its record of changes counted the first response in full, so a follower that had been told of that version never got the row.

Change: the record counts a read of changes up to the version that the follower of the table takes for known.

Test: GatewayPair ResponseStatesVersionBeforeUpstream_FollowerLearnsOfIt failed before (not listed at the follower after 3 s) and passes; GatewayPair (16) passes (x86_64).

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -457,7 +457,9 @@
     directory.replaceAll(std::move(entries), now, changes);
     mUpstreamListChanges.retainOnly(ids, aRows.version);
   }
-  mUpstreamListChanges.setVersion(aRows.version);
+  // A read of changes may state a higher version than it has shown all changes of.
+  mUpstreamListChanges.setVersion(aAllRows ? aRows.version
+                                           : mUpstreamFollower->version());
   mSelector.recordListRead(now);
   directory.readSucceeded(now);
   mUpstreamsKnown = true;
