--- a/src/gateway/internal/configreadtask.cpp
+++ b/src/gateway/internal/configreadtask.cpp
@@ -31,8 +31,8 @@
 constexpr Duration kBehindWait = 300ms;
 constexpr Duration kBehindReadPeriod = 1s;
 // Wait of reads that confirm. The shorter it is, the more recent is the confirmation,
-// which counts from the start of the read; without any wait, the reads would take up
-// connections that the lease of the leader needs.
+// which counts from the start of the read; a read without any wait could not be cancelled
+// when it hangs.
 constexpr Duration kConfirmingWait = 20ms;
 // Time between the starts of two reads that confirm: about twice a second by the leader.
 // The confirmations of a follower are then at most about 1 s old, half of the age at
--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -66,7 +66,7 @@
   if (mOptions.wait > Duration::zero() && mOptions.retryPeriod == Duration::zero()) {
     mHangTimer = mLoop.after(mOptions.wait + kHangMargin, [this] {
       recordFailure({ ErrorCode::OutcomeUnknown, "no response to a waiting read" });
-      replaceRead("no-response");
+      replaceRead(ReadReplacement::NoResponse);
     });
   }
   mStore.readChanges(mOptions.table,
@@ -168,12 +168,12 @@
 
 /// The result of a read that is replaced is ignored.
 void
-TableFollower::replaceRead(const char* aReason)
+TableFollower::replaceRead(ReadReplacement aReason)
 {
   if (mReading) {
     mLog.write(kReadReplaced,
                { { "table", mOptions.table },
-                 { "reason", aReason },
+                 { "reason", nameOf(aReason) },
                  { "age_ms", toMs(mLoop.now() - mReadStarted) },
                  { "wait_ms", toMs(mReadWait) } });
   }
@@ -188,7 +188,7 @@
 void
 TableFollower::readNow()
 {
-  replaceRead("requested");
+  replaceRead(ReadReplacement::Requested);
 }
 
 void
@@ -224,7 +224,7 @@
   mOptions.pause = aPause;
   mOptions.retryPeriod = aRetryPeriod;
   if (mReading && mReadWait > aWait) {
-    replaceRead("shorter-wait");
+    replaceRead(ReadReplacement::ShorterWait);
   }
 }
 
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -8,6 +8,7 @@
 
 #include "base/eventlog.h"
 #include "base/metrics.h"
+#include "base/types/enumnames.h"
 #include "event/loop.h"
 #include "gateway/iprotocol.h"
 #include "gateway/irowstore.h"
@@ -16,6 +17,14 @@
 
 namespace savoryrill::gateway {
 
+/// Why a read in progress is given up for another one.
+enum class ReadReplacement
+{
+  Requested,   // by the owner of the follower
+  ShorterWait, // the read waits for longer than is allowed now
+  NoResponse   // none within the wait and `TableFollower::kHangMargin`
+};
+
 /// Follows one table of the platform's store: reads all rows, then the changes, and all
 /// rows again if changes were missed. Reads can be left out while another host that reads
 /// the same table reports its state, see `confirm`. The known version never decreases.
@@ -110,7 +119,7 @@
   void readAfter(Duration aPause);
   void scheduleRead();
   void read();
-  void replaceRead(const char* aReason);
+  void replaceRead(ReadReplacement aReason);
   void confirmRead(const RowSet& aChanges, std::uint64_t aKnown);
   std::uint64_t coveredVersion(const RowSet& aChanges) const;
   void recordSuccess();
@@ -142,3 +151,17 @@
 };
 
 } // namespace savoryrill::gateway
+
+namespace savoryrill {
+
+template<>
+struct EnumNames<gateway::ReadReplacement>
+{
+  static constexpr EnumTable<gateway::ReadReplacement, 3> kTable{ {
+    { gateway::ReadReplacement::Requested, "requested" },
+    { gateway::ReadReplacement::ShorterWait, "shorter-wait" },
+    { gateway::ReadReplacement::NoResponse, "no-response" },
+  } };
+};
+
+} // namespace savoryrill
--- a/src/serving/configreadpolicy.h
+++ b/src/serving/configreadpolicy.h
@@ -51,7 +51,6 @@
   std::uint64_t applied() const { return mApplied; }
 
   bool confirms() const { return mConfirms; }
-  bool leads() const { return mLeads; }
 
   /// `aUnconfirmed`: no other host has confirmed the configuration for a while.
   ConfigReader reader(bool aUnconfirmed) const;
