Count the handover gap from the announced end of a lease

Cause: a successor counted the gap from when it first read the row of the former leader. A lease that ends in an outage of the store is announced for a row that the others have known for up to its 1.5 s, and the leader may order until then.

Change: the gap counts from the announcement, at the latest from the end of the lease.

--- a/src/serving/internal/leadership.cpp
+++ b/src/serving/internal/leadership.cpp
@@ -131,15 +131,27 @@
       // handover gap between them.
       mMayOrderFrom = aNow;
     } else {
-      const bool released = previous->released || mReleasedVersion == previous->version;
-      const Duration remaining_lease = released ? Duration::zero() : mOptions.lease;
-      mMayOrderFrom =
-        mUnchangedSince + remaining_lease + mOptions.handoverGap + mOptions.margin;
+      mMayOrderFrom = lastOrderOf(*previous) + mOptions.handoverGap + mOptions.margin;
     }
   }
   mUnchangedSince = aNow;
 }
 
+Instant
+Leadership::lastOrderOf(const LeaderRow& aRow) const
+{
+  if (aRow.released) {
+    return mUnchangedSince;
+  }
+  const Instant lease_end = mUnchangedSince + mOptions.lease;
+  if (mReleasedVersion != aRow.version) {
+    return lease_end;
+  }
+  // The holder could send orders until it announced the end of its lease, long after this
+  // host had read the row.
+  return std::clamp(mReleaseAnnounced, mUnchangedSince, lease_end);
+}
+
 void
 Leadership::rowRead(const std::optional<LeaderRow>& aRow, Instant aNow)
 {
@@ -190,6 +202,7 @@
   mLastUpdate.reset();
   mReleasedVersion = aVersion;
   mReleasedTo = aSuccessor;
+  mReleaseAnnounced = aNow;
   mUpdateVersion = aVersion;
   mUpdateVersionSince = aNow; // the last order may have been sent just before
   mReadNeeded = true;
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -128,6 +128,8 @@
 private:
   bool ownRow() const { return mRow && !mTerm.empty() && mRow->term == mTerm; }
   bool mayTake(Instant aNow) const;
+  /// Time after which the holder of a row, as another host has seen it, sends no order.
+  Instant lastOrderOf(const LeaderRow& aRow) const;
   /// Wait before a released row is taken.
   Duration releasedTakeDelay(const std::string& aSuccessor) const;
 
@@ -142,6 +144,7 @@
   std::uint64_t mUpdateVersion = 0;
   Instant mUpdateVersionSince{};
   std::optional<std::uint64_t> mReleasedVersion;
+  Instant mReleaseAnnounced{};   // when `mReleasedVersion` was
   std::string mReleasedTo;       // successor named with `mReleasedVersion`
   std::string mSuccessor;        // to name when this host releases the row
   std::string mSkippedSuccessor; // see `skippedSuccessor`
--- a/src/serving/tests/leadershiptest.cpp
+++ b/src/serving/tests/leadershiptest.cpp
@@ -359,6 +359,29 @@
   STRCMP_EQUAL("", a.skippedSuccessor().c_str());
 }
 
+// Load pattern: the store is away for longer than a lease. Guards against two hosts whose
+// orders are closer together than the handover gap, since a leader may send orders until
+// its lease ends, long after the others have seen its last row.
+TEST(Leadership, LeaseEndsAndIsAnnounced_SuccessorWaitsFromTheAnnouncement)
+{
+  Leadership a(optionsOf("a"));
+  Leadership b(optionsOf("b"));
+  settle(a, "ta");
+  settle(b, "tb");
+  now += kLease - 10ms;
+  CHECK_TRUE(a.mayOrder(now));
+  now += 10ms;
+  CHECK_FALSE(a.leads(now));
+  const Instant announced = now;
+  b.leadershipReleased(a.baseVersion(), "b", now);
+  while (!b.mayOrder(now)) {
+    settle(b, "tb");
+    now += 50ms;
+  }
+  CHECK_TRUE(now - announced >= kHandoverGap);
+  CHECK_TRUE(now - announced <= kHandoverGap + kMargin + 100ms);
+}
+
 TEST(Leadership, StoreRefusesCalls_RetriesWithPause)
 {
   Leadership a(optionsOf("a"));
