--- a/src/gateway/internal/configreadtask.cpp
+++ b/src/gateway/internal/configreadtask.cpp
@@ -21,9 +21,9 @@
 // change is noticed later by this and by `TableFollower::kHangMargin`. The sum stays
 // below the time (3 s) after which a host counts as undisturbed again.
 constexpr Duration kAloneWait = 2s;
-// The same where the leader reports the version in force: a newer version than that of
-// this host shows that the read hangs. Less than the minimum time for which a store keeps
-// its history (20 s).
+// The same where the leader reports the version in force, so that only the price of the
+// reads counts: a newer version than that of this host shows that the read hangs. Less
+// than the minimum time for which a store keeps its history (20 s).
 constexpr Duration kToldWait = 15s;
 // A version that the leader has in force is in the store, so the response needs no wait.
 // The read fails by the timeout of the store client, as all other calls do, and is not
