Log failed reads of the store, and how long a host stays behind its leader

The logs of a host that stays behind its leader did not tell reads that fail by their size from reads on dead connections: only the first failed read of a series was logged. read-failed logs each further one with its kind and age, store-regained the size of the response that ended the series, and config-caught-up how long the host was behind and with how many reads; the same delay is in savoryrill_gateway_config_behind_ms.

--- a/src/gateway/internal/configreadtask.cpp
+++ b/src/gateway/internal/configreadtask.cpp
@@ -43,6 +43,9 @@
 // damaged on its way.
 constexpr Duration kWholeReadPeriod = 1s;
 
+// Shorter delays are only counted; each change brings one to most hosts.
+constexpr Duration kLoggedDelay = 1s;
+
 constexpr const char* kConfirmedSeries = "savoryrill_gateway_config_confirmed";
 
 Timing
@@ -88,12 +91,14 @@
   mPolicy.setConfirms(aConfig.organisations != nullptr &&
                       mDependencies.confirmation.bounded());
   mPolicy.versionApplied(aConfig.version);
+  recordDelay();
   updateReader();
 }
 
 void
 ConfigReadTask::readHandled(bool aAllRows)
 {
+  mReadsBehind += mBehindSince ? 1 : 0;
   if (mReader != ConfigReader::Behind) {
     return;
   }
@@ -134,9 +139,36 @@
 ConfigReadTask::versionReported(std::uint64_t aVersion)
 {
   mPolicy.versionReported(aVersion);
+  recordDelay();
   updateReader();
 }
 
+/// Records for how long the version in force was older than that of the leader.
+void
+ConfigReadTask::recordDelay()
+{
+  const bool behind = mPolicy.reported() > mPolicy.applied();
+  const auto now = mDependencies.loop.now();
+  if (behind == mBehindSince.has_value()) {
+    return;
+  }
+  if (behind) {
+    mBehindSince = now;
+    mReadsBehind = 0;
+    return;
+  }
+  const auto delay = now - *mBehindSince;
+  mBehindSince.reset();
+  mDependencies.metrics.observe("savoryrill_gateway_config_behind_ms",
+                                static_cast<double>(toMs(delay)));
+  if (delay >= kLoggedDelay) {
+    mDependencies.log.write(kConfigCaughtUp,
+                            { { "version", mPolicy.applied() },
+                              { "behind_ms", toMs(delay) },
+                              { "reads", mReadsBehind } });
+  }
+}
+
 void
 ConfigReadTask::storeRegained(Instant aStarted)
 {
--- a/src/gateway/internal/configreadtask.h
+++ b/src/gateway/internal/configreadtask.h
@@ -66,6 +66,7 @@
 private:
   void updateReader();
   void reportState(Instant aNow);
+  void recordDelay();
 
   Dependencies mDependencies;
   serving::ConfigReadPolicy mPolicy;
@@ -73,6 +74,8 @@
   bool mNewestUsable = true;
   std::optional<Instant> mWholeRead; // of a row that cannot be used
   std::optional<bool> mReported;
+  std::optional<Instant> mBehindSince; // the leader reported a newer version
+  std::uint64_t mReadsBehind = 0;      // handled since then
 };
 
 } // namespace savoryrill::gateway
--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -11,6 +11,17 @@
 // Bounds the rate of reads when a read takes as long as the pause between two.
 constexpr Duration kMinReadPause = 50ms;
 
+/// Size of the values of all rows.
+std::uint64_t
+bytesOf(const RowSet& aRows)
+{
+  std::uint64_t bytes = 0;
+  for (const auto& row : aRows.rows) {
+    bytes += row.value.size();
+  }
+  return bytes;
+}
+
 } // namespace
 
 TableFollower::TableFollower(event::Loop& aLoop,
@@ -41,7 +52,7 @@
       scheduleRetry();
       return;
     }
-    recordSuccess();
+    recordSuccess(aRows.value());
     if (mVersion && aRows.value().version < *mVersion) {
       // Right after the store has dropped its history, a read may return a state that is
       // seconds old.
@@ -89,7 +100,7 @@
                          scheduleRetry();
                          return;
                        }
-                       recordSuccess();
+                       recordSuccess(aRows.value());
                        const auto known = *mVersion;
                        mVersion = std::max(known, coveredVersion(aRows.value()));
                        mKnownAsOf = mReadStarted;
@@ -266,13 +277,17 @@
 }
 
 void
-TableFollower::recordSuccess()
+TableFollower::recordSuccess(const RowSet& aRows)
 {
   mFailurePause = Duration::zero();
   if (mFailingSince) {
-    mLog.write(
-      kStoreRegained,
-      { { "read", mOptions.table }, { "after_ms", toMs(mLoop.now() - *mFailingSince) } });
+    mLog.write(kStoreRegained,
+               { { "read", mOptions.table },
+                 { "after_ms", toMs(mLoop.now() - *mFailingSince) },
+                 { "failures", mFailures },
+                 { "all_rows", mReadsAllRows ? "yes" : "no" },
+                 { "rows", std::uint64_t{ aRows.rows.size() } },
+                 { "bytes", bytesOf(aRows) } });
     mFailingSince.reset();
     if (mRecoveryCallback) {
       mRecoveryCallback();
@@ -287,8 +302,18 @@
                "\"}");
   if (!mFailingSince) {
     mFailingSince = mLoop.now();
+    mFailures = 1;
     mLog.write(kStoreLost, { { "read", mOptions.table }, { "reason", aError.message } });
+    return;
   }
+  ++mFailures;
+  // Bounded by the pause after a failed read, about one line a second and table.
+  mLog.write(kReadFailed,
+             { { "read", mOptions.table },
+               { "all_rows", mReadsAllRows ? "yes" : "no" },
+               { "age_ms", toMs(mLoop.now() - mReadStarted) },
+               { "failures", mFailures },
+               { "reason", aError.message } });
 }
 
 } // namespace savoryrill::gateway
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -122,7 +122,7 @@
   void replaceRead(ReadReplacement aReason);
   void confirmRead(const RowSet& aChanges, std::uint64_t aKnown);
   std::uint64_t coveredVersion(const RowSet& aChanges) const;
-  void recordSuccess();
+  void recordSuccess(const RowSet& aRows);
   void recordFailure(const Error& aError);
   void scheduleRetry();
 
@@ -144,6 +144,7 @@
   std::uint64_t mReadId = 0;         // of the latest read; results of others are ignored
   std::function<void()> mRecoveryCallback;
   std::optional<Instant> mFailingSince;
+  std::uint64_t mFailures = 0; // since `mFailingSince`
   Duration mFailurePause =
     Duration::zero(); // after the last failure; zero after a success
   event::Watch mTimer;
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -32,7 +32,8 @@
   4105,
   Severity::Info,
   "store-regained",
-  "A table of the platform's store can be read again, after `after_ms`."
+  "A table of the platform's store can be read again, after `after_ms` and `failures` "
+  "failed reads; the response holds `rows` rows of `bytes` bytes together."
 };
 inline constexpr EventDefinition kUpstreamListed{
   4106,
@@ -205,6 +206,24 @@
   "after "
   "its start."
 };
+inline constexpr EventDefinition kReadFailed{
+  4136,
+  Severity::Info,
+  "read-failed",
+  "A read of a table of the platform's store has failed again since `store-lost`, "
+  "`age_ms` after its start; `failures` counts the failed ones, `all_rows` tells reads "
+  "of "
+  "all rows from reads of changes."
+};
+inline constexpr EventDefinition kConfigCaughtUp{
+  4137,
+  Severity::Info,
+  "config-caught-up",
+  "The configuration that the leader has reported is in force here, `behind_ms` after "
+  "the "
+  "leader first reported a newer one than this host had; `reads` of the store were "
+  "handled meanwhile."
+};
 inline constexpr EventDefinition kConfigFinding{
   4140,
   Severity::Warning,
