Put only the newest version of a response into force

Callers got 404 for a route whose version had been acknowledged more than 3 s before, from one host in a data centre whose links had lost packets. Class: the work of catching up grows with the time behind. Now the newest usable row alone is parsed; an unusable newest row is recorded as before.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -107,6 +107,7 @@
   Result<void> startServers();
   void startFollowers();
   void applyConfigRows(const RowSet& aRows);
+  void applyConfig(serving::ServingConfig aConfig, std::uint64_t aRowVersion);
   void recordUnusableConfig(const StoredRow& aRow, const Error& aError);
   void applyUpstreamRows(const RowSet& aRows, bool aAllRows);
   void applyListUpdate(const serving::UpstreamListUpdate& aUpdate, Instant aAsOf);
@@ -319,44 +320,59 @@
   mUpstreamFollower->start();
 }
 
+/// A response with changes may hold many versions. Only the newest usable one is put into
+/// force, since a large configuration takes a small host a tenth of a second.
 void
 GatewayImpl::applyConfigRows(const RowSet& aRows)
 {
-  for (const auto& row : aRows.rows) {
-    if (row.key != mDependencies.recordFormat.configKey() || row.deleted) {
+  const StoredRow* unusable = nullptr; // the newest row, if it cannot be used
+  std::optional<Error> error;
+  for (auto row = aRows.rows.rbegin(); row != aRows.rows.rend(); ++row) {
+    if (row->key != mDependencies.recordFormat.configKey() || row->deleted) {
       continue;
     }
-    auto config = mDependencies.recordFormat.readConfig(row.value);
-    if (!config) {
-      recordUnusableConfig(row, config.error());
-      continue;
+    auto config = mDependencies.recordFormat.readConfig(row->value);
+    if (config) {
+      mConfigReadTask->setNewestUsable(true);
+      applyConfig(std::move(config.value()), row->version);
+      break;
     }
-    mConfigReadTask->setNewestUsable(true);
-    if (config.value().version <= mConfigVersion) {
-      continue; // versions only increase
+    if (unusable == nullptr) {
+      unusable = &*row;
+      error = config.error();
     }
-    mConfigVersion = config.value().version;
-    mDependencies.metrics.set("savoryrill_gateway_config_version",
-                              static_cast<double>(mConfigVersion));
-    mDependencies.log.write(
-      kConfigInForce,
-      { { "version", mConfigVersion },
-        { "row_version", row.version },
-        { "routes", std::uint64_t{ config.value().routes.size() } } });
-    for (const auto& finding : config.value().findings) {
-      mDependencies.log.write(kConfigFinding,
-                              { { "version", mConfigVersion }, { "finding", finding } });
-    }
-    const auto table = serving::RouteTable::create(std::move(config.value()));
-    const auto& organisations = table->config().organisations;
-    mQuotas.setQuotas(organisations ? organisations->organisations()
-                                    : std::map<std::string, serving::Organisation>{});
-    mScheduler.setRoutes(table);
-    mLeader->setConfig(table->config());
-    mConfirmation.configApplied(mConfigVersion);
-    mConfigReadTask->configApplied(table->config());
-    logReadiness();
   }
+  if (unusable != nullptr) {
+    recordUnusableConfig(*unusable, *error);
+  }
+}
+
+void
+GatewayImpl::applyConfig(serving::ServingConfig aConfig, std::uint64_t aRowVersion)
+{
+  if (aConfig.version <= mConfigVersion) {
+    return; // versions only increase
+  }
+  mConfigVersion = aConfig.version;
+  mDependencies.metrics.set("savoryrill_gateway_config_version",
+                            static_cast<double>(mConfigVersion));
+  mDependencies.log.write(kConfigInForce,
+                          { { "version", mConfigVersion },
+                            { "row_version", aRowVersion },
+                            { "routes", std::uint64_t{ aConfig.routes.size() } } });
+  for (const auto& finding : aConfig.findings) {
+    mDependencies.log.write(kConfigFinding,
+                            { { "version", mConfigVersion }, { "finding", finding } });
+  }
+  const auto table = serving::RouteTable::create(std::move(aConfig));
+  const auto& organisations = table->config().organisations;
+  mQuotas.setQuotas(organisations ? organisations->organisations()
+                                  : std::map<std::string, serving::Organisation>{});
+  mScheduler.setRoutes(table);
+  mLeader->setConfig(table->config());
+  mConfirmation.configApplied(mConfigVersion);
+  mConfigReadTask->configApplied(table->config());
+  logReadiness();
 }
 
 void
