Read the newest version alone when a host is behind or responses are lost

Callers got 404 for a route long after its acknowledgement, from hosts behind links that had lost packets. Cause: a host that was behind read the changes since its version. The response holds each version that it has missed (1.1 MB for ten of them, the limit of the store), takes longer than the timeout of 1.5 s on such a link, and the next one is not smaller.

serving::TableReadChoice decides: all rows are read when the leader has reported a newer version, and in turn with changes when responses get lost; at once if the table changes, later if it is quiet, since a response without changes is smaller than the rows and confirms keys. All followers use it, the leader's list of upstreams included.

GatewayPair, FollowerHasMissedManyVersions_ReadsTheNewestAlone and LeaderHasMissedManyVersions_ReadsTheNewestAlone failed before. GatewayPair, Revocation, TableFollower, StoreClient and test-serving pass (x86_64).

--- a/src/gateway/internal/configreadtask.cpp
+++ b/src/gateway/internal/configreadtask.cpp
@@ -214,6 +214,10 @@
                             { "reported", mPolicy.reported() },
                             { "wait_ms", toMs(timingOf(reader).wait) } });
   mReader = reader;
+  if (reader == ConfigReader::Behind) {
+    // The changes hold each version that this host has missed, of which it uses the last.
+    mDependencies.follower.requireAllRows();
+  }
   const auto timing = timingOf(reader);
   mDependencies.follower.setTiming(timing.wait, timing.pause, timing.retryPeriod);
   if (isUrgent(reader)) {
--- a/src/gateway/internal/tablefollower.cpp
+++ b/src/gateway/internal/tablefollower.cpp
@@ -60,7 +60,7 @@
       return;
     }
     mVersion = aRows.value().version;
-    mNeedsAllRows = false;
+    mReadChoice.readSucceeded(true, !aRows.value().rows.empty());
     mKnownAsOf = mReadStarted;
     mHandlers.onAllRows(aRows.value());
     if (mHandlers.onConfirmed && !mReading) {
@@ -92,7 +92,7 @@
                        if (!aRows) {
                          if (aRows.error().code == ErrorCode::NotFound) {
                            // The store no longer has all changes since the known version.
-                           mNeedsAllRows = true;
+                           mReadChoice.requireAllRows();
                            readAfter(Duration::zero());
                            return;
                          }
@@ -101,6 +101,7 @@
                          return;
                        }
                        recordSuccess(aRows.value());
+                       mReadChoice.readSucceeded(false, !aRows.value().rows.empty());
                        const auto known = *mVersion;
                        mVersion = std::max(known, coveredVersion(aRows.value()));
                        mKnownAsOf = mReadStarted;
@@ -161,8 +162,8 @@
   mTimer.reset();
   mHangTimer.reset();
   mReading = true;
-  mReadsAllRows = mNeedsAllRows;
-  mReadWait = mNeedsAllRows ? Duration::zero() : mOptions.wait;
+  mReadsAllRows = mReadChoice.allRows();
+  mReadWait = mReadsAllRows ? Duration::zero() : mOptions.wait;
   mReadStarted = mLoop.now();
   mNewestAtStart = mStore.newestVersion();
   mReadCheck.readStarted(mReadStarted, mNewestAtStart);
@@ -170,7 +171,7 @@
   if (mHandlers.onReadStarted) {
     mHandlers.onReadStarted();
   }
-  if (mNeedsAllRows) {
+  if (mReadsAllRows) {
     readAllRows();
   } else {
     readChanges();
@@ -224,7 +225,7 @@
   if (mReading && mReadsAllRows) {
     return;
   }
-  mNeedsAllRows = true;
+  mReadChoice.requireAllRows();
   readNow();
 }
 
@@ -255,7 +256,7 @@
     return;
   }
   mVersion = std::max(*mVersion, aVersion);
-  mNeedsAllRows = true;
+  mReadChoice.requireAllRows();
   mKnownAsOf = std::max(*mKnownAsOf, aAsOf);
   if (!mReading) {
     scheduleRead();
@@ -300,6 +301,9 @@
 {
   mMetrics.add("savoryrill_gateway_store_failures_total{table=\"" + mOptions.table +
                "\"}");
+  if (aError.code != ErrorCode::Unavailable) {
+    mReadChoice.responseLost();
+  }
   if (!mFailingSince) {
     mFailingSince = mLoop.now();
     mFailures = 1;
--- a/src/gateway/internal/tablefollower.h
+++ b/src/gateway/internal/tablefollower.h
@@ -13,6 +13,7 @@
 #include "gateway/iprotocol.h"
 #include "gateway/irowstore.h"
 #include "serving/tablereadcheck.h"
+#include "serving/tablereadchoice.h"
 #include "serving/upstreamdirectory.h"
 
 namespace savoryrill::gateway {
@@ -105,7 +106,7 @@
   void readAllNow();
 
   /// Makes the next read one of all rows; reschedules no read.
-  void requireAllRows() { mNeedsAllRows = true; }
+  void requireAllRows() { mReadChoice.requireAllRows(); }
 
   /// Sets a callback that runs when a read succeeds after a failed one.
   void setRecoveryCallback(std::function<void()> aCallback)
@@ -133,7 +134,7 @@
   Options mOptions;
   Handlers mHandlers;
   std::optional<std::uint64_t> mVersion;
-  bool mNeedsAllRows = true;
+  serving::TableReadChoice mReadChoice;
   bool mReading = false;
   bool mReadsAllRows = false;            // the latest read
   Duration mReadWait = Duration::zero(); // for a change, of the latest read
