Log the era of the store

No decision uses it yet. It tells a store that has come back from a copy from one that was only away.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -126,6 +126,7 @@
   /// True if requests with keys are refused since the configuration may be outdated.
   bool refusesKeys() const;
   void logConfirmation();
+  void noteStoreEra();
   void tick();
   void continueDrain();
   std::string renderMetrics();
@@ -162,6 +163,7 @@
   bool mKeysRefused = false; // as logged
   std::string mReadinessLogged = "unknown";
   std::uint64_t mIgnoredRows = 0;
+  std::uint64_t mStoreEra = 0;
   event::Watch mTick;
   std::optional<Instant> mDrainStarted;
   std::function<void()> mOnDrained;
@@ -589,9 +591,23 @@
   }
 }
 
+/// Notices that the store has come back from a copy.
+void
+GatewayImpl::noteStoreEra()
+{
+  const auto era = mDependencies.store.era();
+  if (era == mStoreEra) {
+    return;
+  }
+  mDependencies.log.write(kStoreEra, { { "era", era }, { "before", mStoreEra } });
+  mDependencies.metrics.set("savoryrill_gateway_store_era", static_cast<double>(era));
+  mStoreEra = era;
+}
+
 void
 GatewayImpl::tick()
 {
+  noteStoreEra();
   logConfirmation();
   logReadiness(); // it may have changed with time alone
   std::vector<serving::DirectoryChange> changes;
--- a/src/gateway/irowstore.h
+++ b/src/gateway/irowstore.h
@@ -45,6 +45,11 @@
   /// store object does not record it.
   virtual std::uint64_t newestVersion() const { return 0; }
 
+  /// Latest era that the store has stated: it rises by one whenever the store comes back
+  /// from a copy that lacks its last changes. 0 if none was received or the store object
+  /// does not record it.
+  virtual std::uint64_t era() const { return 0; }
+
   /// Reads all rows of a table, page by page. The version is that of the first page; rows
   /// of later pages may be newer.
   virtual void readTable(const std::string& aTable, Completion<RowSet> aDone) = 0;
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -224,6 +224,14 @@
   "leader first reported a newer one than this host had; `reads` of the store were "
   "handled meanwhile."
 };
+inline constexpr EventDefinition kStoreEra{
+  4138,
+  Severity::Info,
+  "store-era",
+  "The platform's store states `era`, and stated `before` until now: with a rise after "
+  "the "
+  "first one it has come back from a copy, and its last changes are gone."
+};
 inline constexpr EventDefinition kConfigFinding{
   4140,
   Severity::Warning,
