Order the store's versions by its eras

Callers got old answers and 404 for new routes for many seconds after the platform's store had come back from a copy, no host led, and hosts that left were not noticed. Cause: row versions were compared as if they only rose. The client took the response to a renewal for one of an earlier request, ten times a second; followers dropped all rows as outdated until the versions had passed those from before.

Outside the store client a version is now a position: the era above the row version, one number that only rises. What compares versions compares positions and needs no rule of its own.

--- a/src/gateway/irowstore.h
+++ b/src/gateway/irowstore.h
@@ -8,6 +8,7 @@
 
 #include "base/result.h"
 #include "base/types/time.h"
+#include "serving/types/storeposition.h"
 
 namespace savoryrill::gateway {
 
@@ -16,18 +17,23 @@
 {
   std::string key;
   std::string value;
-  std::uint64_t version = 0;
+  serving::StorePosition version = 0;
   bool deleted = false; // set only by readChanges
 };
 
-/// Rows as of one version of the store.
+/// Rows as of one version of the store. All versions are of the era in which they were
+/// read, also those of rows that were written before.
 struct RowSet
 {
   std::vector<StoredRow> rows;
-  std::uint64_t version = 0;
+  serving::StorePosition version = 0;
 };
 
-/// The rows of the platform's transactional store. Each operation is sent once and never
+/// The rows of the platform's transactional store. Versions are positions in its history
+/// and only rise, also when it comes back from a copy. What it has stated before that may
+/// be gone: reads of changes since an earlier era fail with NotFound, writes on a version
+/// of one with Conflict, and a write during which the era rises with OutcomeUnknown. Each
+/// operation is sent once and never
 /// retried; its completion runs in a later iteration of the loop, or never if the store
 /// object is destroyed or the operation cancelled first. Errors: Unavailable (no effect),
 /// OutcomeUnknown (it may take effect, possibly later), Conflict (the row has another
@@ -43,7 +49,7 @@
 
   /// Highest version in any response of the store so far; 0 if none was received or the
   /// store object does not record it.
-  virtual std::uint64_t newestVersion() const { return 0; }
+  virtual serving::StorePosition newestVersion() const { return 0; }
 
   /// Latest era that the store has stated: it rises by one whenever the store comes back
   /// from a copy that lacks its last changes. 0 if none was received or the store object
@@ -62,7 +68,7 @@
   /// Reads the changes of a table after version `aAfter`; if there are none, the store
   /// waits up to `aWait` for the first one.
   virtual void readChanges(const std::string& aTable,
-                           std::uint64_t aAfter,
+                           serving::StorePosition aAfter,
                            Duration aWait,
                            Completion<RowSet> aDone) = 0;
 
@@ -74,8 +80,8 @@
   /// with its new version.
   virtual void writeRow(const std::string& aTable,
                         const StoredRow& aRow,
-                        std::uint64_t aExpected,
-                        Completion<std::uint64_t> aDone) = 0;
+                        serving::StorePosition aExpected,
+                        Completion<serving::StorePosition> aDone) = 0;
 };
 
 } // namespace savoryrill::gateway
