Do not trust the leader's row of a copy of the store

The copy from which the store comes back may hold the row of an earlier holder, a released one, one of an earlier process of the same host, or none, while another host has held the lease until then. Each of them let a host order sooner than after a whole lease and the handover gap.

Each row now states the era in which it was written. A row of an earlier era, or none in a later one than the first, hides a holder: it is taken after a whole lease, and the holder orders after the gap beyond that. A process that the copy names goes on only if its lease has lasted all the while.

Leadership, RowIsFromCopy_NoOrderBeforeLeaseAndHandoverGap and CopyNamesFormerHolder_WaitsForLeaseAndHandoverGap.

--- a/src/gateway/internal/leaderrowcodec.cpp
+++ b/src/gateway/internal/leaderrowcodec.cpp
@@ -12,6 +12,7 @@
   value["endpoint"] = aRow.endpoint;
   value["term"] = aRow.term;
   value["released"] = aRow.released;
+  value["era"] = Json::UInt64(aRow.era);
   if (!aRow.successor.empty()) {
     value["successor"] = aRow.successor;
   }
@@ -37,6 +38,8 @@
   row.term = *term;
   row.released = released.asBool();
   row.successor = stringMember(value, "successor").value_or("");
+  row.era =
+    unsignedMember<std::uint64_t>(value, "era").value_or(0); // 0: by an old release
   return row;
 }
 
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -244,6 +244,7 @@
 LeaderTask::stepLease()
 {
   const auto now = mDependencies.loop.now();
+  mLeadership.setStoreEra(mDependencies.store.era());
   const auto step = mLeadership.next(now, mStopping || mHandingOver);
   switch (step) {
     case LeadershipStep::None:
@@ -277,6 +278,7 @@
         row = decoded ? decoded.value() : serving::LeaderRow{};
         row->version = aRow.value()->version;
       }
+      mLeadership.setStoreEra(mDependencies.store.era());
       mLeadership.rowRead(row, now);
       updateLeadership();
       stepLease();
--- a/src/serving/internal/leadership.cpp
+++ b/src/serving/internal/leadership.cpp
@@ -4,6 +4,18 @@
 
 namespace savoryrill::serving {
 
+void
+Leadership::setStoreEra(std::uint64_t aEra)
+{
+  if (aEra <= mStoreEra) {
+    return;
+  }
+  mStoreEra = aEra;
+  mReadNeeded = true;
+  // An absent row has no version that would differ from that of the earlier era.
+  mRowRead = mRowRead && mRow.has_value();
+}
+
 LeadershipStep
 Leadership::next(Instant aNow, bool aStopping) const
 {
@@ -35,7 +47,8 @@
     return LeadershipStep::None;
   }
   const bool leader_active = mLastUpdate && aNow - *mLastUpdate < mOptions.leaderTimeout;
-  const bool free = !mRow || mRow->released || mReleasedVersion == mRow->version;
+  const bool free = !mayBeOutdated(mRow) &&
+                    (!mRow || mRow->released || mReleasedVersion == mRow->version);
   if (leader_active && !free) {
     return LeadershipStep::None;
   }
@@ -45,9 +58,19 @@
   return read_due ? LeadershipStep::Read : LeadershipStep::None;
 }
 
+bool
+Leadership::mayBeOutdated(const std::optional<LeaderRow>& aRow) const
+{
+  return aRow ? aRow->era < storeEraOf(aRow->version) : mStoreEra > kFirstStoreEra;
+}
+
 bool
 Leadership::mayTake(Instant aNow) const
 {
+  if (mayBeOutdated(mRow)) {
+    return aNow - mUnchangedSince >=
+           mOptions.lease + mOptions.margin + mOptions.takeDelay;
+  }
   if (!mRow || mRow->released) {
     return aNow - mUnchangedSince >= releasedTakeDelay(mRow ? mRow->successor : "");
   }
@@ -63,6 +86,14 @@
   return aNow - mUnchangedSince >= mOptions.lease + mOptions.margin + mOptions.takeDelay;
 }
 
+/// True if another host may have taken the row and ordered before the store came back
+/// from the copy that names this process. None has while the lease of this one lasts.
+bool
+Leadership::mayHaveLostRow(Instant aNow) const
+{
+  return storeEraOf(mRow->version) > storeEraOf(mFencingNumber) && aNow >= mValidUntil;
+}
+
 Duration
 Leadership::releasedTakeDelay(const std::string& aSuccessor) const
 {
@@ -82,6 +113,7 @@
   row.term = aStep == LeadershipStep::Take ? aTerm : mTerm;
   row.released = aStep == LeadershipStep::Release;
   row.successor = row.released ? mSuccessor : "";
+  row.era = mStoreEra;
   return row;
 }
 
@@ -126,17 +158,27 @@
     if (mSkippedSuccessor == mOptions.host) {
       mSkippedSuccessor.clear();
     }
-    if (!previous || previous->host == mOptions.host) {
-      // There was no holder, or this host was the holder. Orders of the same host need no
-      // handover gap between them.
-      mMayOrderFrom = aNow;
-    } else {
-      mMayOrderFrom = lastOrderOf(*previous) + mOptions.handoverGap + mOptions.margin;
-    }
+    mMayOrderFrom = firstOrderAfter(previous, aNow);
   }
   mUnchangedSince = aNow;
 }
 
+Instant
+Leadership::firstOrderAfter(const std::optional<LeaderRow>& aPrevious, Instant aNow) const
+{
+  const Duration gap = mOptions.handoverGap + mOptions.margin;
+  if (mayBeOutdated(aPrevious)) {
+    return mUnchangedSince + mOptions.lease + gap;
+  }
+  if (!aPrevious) {
+    return aNow; // there was no holder
+  }
+  if (aPrevious->host != mOptions.host) {
+    return lastOrderOf(*aPrevious) + gap;
+  }
+  return aNow; // orders of one host need no gap between them
+}
+
 Instant
 Leadership::lastOrderOf(const LeaderRow& aRow) const
 {
@@ -171,11 +213,15 @@
     mUnchangedSince = reported ? mUpdateVersionSince : aNow;
     mRow = aRow;
   }
+  if (ownRow() && mRow->released) {
+    mTerm.clear(); // it does not hold the row any more, so it may take it like others
+  }
   if (!ownRow()) {
     mFencingNumber = 0;
-  } else if (changed && mFencingNumber == 0) {
-    // A take whose response was lost has been applied. The predecessor is no longer
-    // known, so the longest possible wait applies.
+  } else if (changed && (mFencingNumber == 0 || mayHaveLostRow(aNow))) {
+    // A take whose response was lost has been applied, or another host may have held the
+    // row before the store came back from a copy. The predecessor is not known, so the
+    // longest possible wait applies.
     mFencingNumber = mRow->version;
     mMayOrderFrom = aNow + mOptions.lease + mOptions.handoverGap + mOptions.margin;
     mLastRenewal = aNow - mOptions.renewPeriod;
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -6,6 +6,7 @@
 
 #include "base/types/enumnames.h"
 #include "base/types/time.h"
+#include "serving/types/storeposition.h"
 
 namespace savoryrill::serving {
 
@@ -16,8 +17,9 @@
   std::string endpoint;      // of the host's peer socket
   std::string term;          // random, new each time a process takes the leadership
   bool released = false;     // the holder sends no more orders
-  std::uint64_t version = 0; // row version assigned by the table store
+  StorePosition version = 0; // assigned by the table store
   std::string successor;     // of a released row: host to take it; empty: any
+  std::uint64_t era = 0;     // of the store when the row was written
 };
 
 enum class LeadershipStep
@@ -34,8 +36,15 @@
 /// sent the renewal, and a successor waits until the row has been unchanged for a whole
 /// lease. After taking the row, the successor sends no order until `handoverGap` has
 /// passed since the last time at which its predecessor could send one. The fencing number
-/// is the row version of the take, which only grows. Instants must come from a clock that
-/// keeps running while the machine is suspended. Not thread safe; no I/O.
+/// is the row version of the take, which only grows.
+///
+/// A store that has come back from a copy may hold the row of an earlier holder, or none.
+/// A row that was written in an earlier era of the store says nothing of the present
+/// holder, whose lease ends within `lease` of the first read in the new era; until then,
+/// and for `handoverGap` more, no other host orders.
+///
+/// Instants must come from a clock that keeps running while the machine is suspended. Not
+/// thread safe; no I/O.
 class Leadership
 {
 public:
@@ -69,6 +78,9 @@
   {
   }
 
+  /// The era that the store states; call before `next` and `rowRead`.
+  void setStoreEra(std::uint64_t aEra);
+
   /// The call to the table store to make now; `None` if there is none to make, or while
   /// one is in progress. `aStopping`: the process is shutting down, so that it releases
   /// the lease and does not take it again.
@@ -83,7 +95,7 @@
   /// each of which needs a new one.
   LeaderRow rowFor(LeadershipStep aStep, const std::string& aTerm) const;
   /// Version that the row must still have for a write to apply; 0: no row may exist.
-  std::uint64_t baseVersion() const { return mRow ? mRow->version : 0; }
+  StorePosition baseVersion() const { return mRow ? mRow->version : 0; }
 
   /// Call when a call is sent; `aTerm` is the term of a take.
   void callSent(LeadershipStep aStep, const std::string& aTerm, Instant aNow);
@@ -91,7 +103,7 @@
   /// Call when a write was applied; the row now has `aVersion`.
   void writeApplied(LeadershipStep aStep,
                     const LeaderRow& aRow,
-                    std::uint64_t aVersion,
+                    StorePosition aVersion,
                     Instant aNow);
 
   /// Call with the row as read; nothing if there is no row.
@@ -106,11 +118,11 @@
 
   /// Call when an update from the leader arrives. `aVersion` is the row version under
   /// which it leads.
-  void leaderUpdateReceived(std::uint64_t aVersion, Instant aNow);
+  void leaderUpdateReceived(StorePosition aVersion, Instant aNow);
 
   /// Call when the leader reports that it sends no more orders under the row with
   /// `aVersion`, and names the host that should take it; empty: any.
-  void leadershipReleased(std::uint64_t aVersion,
+  void leadershipReleased(StorePosition aVersion,
                           const std::string& aSuccessor,
                           Instant aNow);
 
@@ -128,6 +140,11 @@
 private:
   bool ownRow() const { return mRow && !mTerm.empty() && mRow->term == mTerm; }
   bool mayTake(Instant aNow) const;
+  /// True if the row, or its absence, may come from a copy of the store.
+  bool mayBeOutdated(const std::optional<LeaderRow>& aRow) const;
+  bool mayHaveLostRow(Instant aNow) const;
+  /// Time from which this host may order after it has taken the row from `aPrevious`.
+  Instant firstOrderAfter(const std::optional<LeaderRow>& aPrevious, Instant aNow) const;
   /// Time after which the holder of a row, as another host has seen it, sends no order.
   Instant lastOrderOf(const LeaderRow& aRow) const;
   /// Wait before a released row is taken.
@@ -135,6 +152,7 @@
 
   Options mOptions;
   std::optional<LeaderRow> mRow;
+  std::uint64_t mStoreEra = 0;
   bool mRowRead = false;
   std::string mTerm;         // of the last take sent
   Instant mUnchangedSince{}; // earliest time since which the row is known to be unchanged
--- a/src/serving/tests/leadershiptest.cpp
+++ b/src/serving/tests/leadershiptest.cpp
@@ -391,3 +391,52 @@
   CHECK_TRUE(a.next(now, false) == LeadershipStep::None);
   CHECK_TRUE(a.next(now + 600ms, false) == LeadershipStep::Read);
 }
+
+// Guards against orders of two hosts within the handover gap: the copy from which the
+// store has come back holds no row, a released one, or one of an earlier process of this
+// host, and another host may have ordered until then.
+TEST(Leadership, RowIsFromCopy_NoOrderBeforeLeaseAndHandoverGap)
+{
+  const auto from_copy = [&](std::optional<LeaderRow> aRow) {
+    now += 100s;
+    version = serving::makeStorePosition(2, 10);
+    stored = std::move(aRow);
+    if (stored) {
+      stored->version = version;
+      stored->era = 1;
+    }
+    const Instant read = now;
+    Leadership a(optionsOf("a"));
+    a.setStoreEra(2);
+    while (!a.mayOrder(now) && now - read < 60s) {
+      settle(a, "t1");
+      now += 50ms;
+    }
+    CHECK_TRUE(now - read >= kLease + kHandoverGap);
+    CHECK_TRUE(now - read <= kLease + kHandoverGap + 1s);
+    CHECK_TRUE(a.fencingNumber() > serving::makeStorePosition(2, 0));
+  };
+  from_copy(std::nullopt);
+  from_copy(LeaderRow{ "b", "b:1", "t0", true });
+  from_copy(LeaderRow{ "a", "a:1", "t0", false });
+}
+
+// Guards against a former holder that orders, since the copy names it, while its
+// successor may have ordered just before.
+TEST(Leadership, CopyNamesFormerHolder_WaitsForLeaseAndHandoverGap)
+{
+  Leadership a(optionsOf("a"));
+  a.setStoreEra(1);
+  settle(a, "ta");
+  CHECK_TRUE(a.mayOrder(now));
+  now += 10s; // it was suspended
+  version = serving::makeStorePosition(2, 11);
+  stored->version = version;
+  a.setStoreEra(2);
+  const Instant resumed = now;
+  while (!a.mayOrder(now) && now - resumed < 60s) {
+    settle(a, "ta");
+    now += 50ms;
+  }
+  CHECK_TRUE(now - resumed >= kLease + kHandoverGap);
+}
