Let the quarantine row be written again after the store has come back from a copy

The leader writes the row of quarantined parts only when they change. A copy that is older than the row, or lacks it, left hosts without a leader, and new ones, without what was known, until the next change. The leader now reads the row again, adds what it knows, and writes it.

--- a/src/gateway/internal/quarantinetask.cpp
+++ b/src/gateway/internal/quarantinetask.cpp
@@ -80,6 +80,13 @@
   }
 }
 
+void
+QuarantineTask::storeRestored()
+{
+  mRowKnown = false;
+  mRowOutdated = true;
+}
+
 void
 QuarantineTask::connectionEnded(const serving::UpstreamEntry& aUpstream,
                                 PromptQuarantine::BrokenRequest aRequest,
--- a/src/gateway/internal/quarantinetask.h
+++ b/src/gateway/internal/quarantinetask.h
@@ -45,6 +45,8 @@
   void start();
   /// Whether this host leads, and so writes the row.
   void setLeading(bool aLeading);
+  /// The store has come back from a copy, which may hold an earlier row or none.
+  void storeRestored();
   /// Whether this host leads or is connected with the leader.
   void setLeaderContact(bool aContact) { mLeaderContact = aContact; }
 
