Do not use removed upstreams that a copy of the store brings back

A copy from which the store comes back may list upstreams that have been removed since, and lack new ones. A host that had seen the removal took such an entry for a new upstream and sent requests to it; entries that the copy lacked were dropped at once, although their upstreams write them again. Class: the newest read is taken for the newest state.

The directory keeps removed incarnations. After a return of the store, one is used again only once a heartbeat follows the first one that is read; entries that are missing are kept for the return time, as after an outage. The leader tells the others what it has made of the entries, not the entries.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include "base/types/baseevents.h"
@@ -110,6 +111,7 @@
   void applyConfig(serving::ServingConfig aConfig, std::uint64_t aRowVersion);
   void recordUnusableConfig(const StoredRow& aRow, const Error& aError);
   void applyUpstreamRows(const RowSet& aRows, bool aAllRows);
+  bool recordListed(const std::string& aId, serving::StorePosition aVersion);
   void applyListUpdate(const serving::UpstreamListUpdate& aUpdate, Instant aAsOf);
   void onUpstreamsChanged(const std::vector<serving::DirectoryChange>& aChanges);
   void onUpstreamReadStarted();
@@ -447,11 +449,12 @@
 void
 GatewayImpl::applyUpstreamRows(const RowSet& aRows, bool aAllRows)
 {
+  noteStoreEra();
   const auto now = mDependencies.loop.now();
   std::vector<serving::DirectoryChange> changes;
   auto& directory = mSelector.directory();
   std::vector<serving::UpstreamEntry> entries;
-  std::set<std::string> ids;
+  std::map<std::string, serving::StorePosition> read; // versions by id
   for (const auto& row : aRows.rows) {
     if (row.deleted) {
       directory.remove(row.key, now, changes);
@@ -463,17 +466,24 @@
       continue;
     }
     entry->rowVersion = row.version;
-    mUpstreamListChanges.update(*entry);
+    read[entry->id] = row.version;
     if (aAllRows) {
-      ids.insert(entry->id);
       entries.push_back(std::move(*entry));
     } else {
+      const std::string id = entry->id;
       directory.update(std::move(*entry), now, changes);
+      recordListed(id, row.version);
     }
   }
   if (aAllRows) {
     directory.replaceAll(std::move(entries), now, changes);
-    mUpstreamListChanges.retainOnly(ids, aRows.version);
+    std::set<std::string> listed;
+    for (const auto& [id, version] : read) {
+      if (recordListed(id, version)) {
+        listed.insert(id);
+      }
+    }
+    mUpstreamListChanges.retainOnly(listed, aRows.version);
   }
   // A read of changes may state a higher version than it has shown all changes of.
   mUpstreamListChanges.setVersion(aAllRows ? aRows.version
@@ -485,10 +495,26 @@
   mLeader->onUpstreamListRead();
 }
 
+/// Notes for other hosts what this one has made of an entry with `aVersion`, which a copy
+/// of the store may have brought back. Returns false if it is not used.
+bool
+GatewayImpl::recordListed(const std::string& aId, serving::StorePosition aVersion)
+{
+  const auto* known = mSelector.directory().find(aId);
+  if (known == nullptr) {
+    return false;
+  }
+  auto entry = *known;
+  entry.rowVersion = aVersion;
+  mUpstreamListChanges.update(entry);
+  return true;
+}
+
 void
 GatewayImpl::applyListUpdate(const serving::UpstreamListUpdate& aUpdate, Instant aAsOf)
 {
-  const std::uint64_t known = mUpstreamFollower->version();
+  noteStoreEra();
+  const auto known = mUpstreamFollower->version();
   if (mLeading || known == 0 || aUpdate.base > known) {
     return; // the update may lack changes that this host does not know
   }
@@ -602,6 +628,10 @@
   mDependencies.log.write(kStoreEra, { { "era", era }, { "before", mStoreEra } });
   mDependencies.metrics.set("savoryrill_gateway_store_era", static_cast<double>(era));
   mStoreEra = era;
+  if (mUpstreamsKnown) { // else this host has just read the store for the first time
+    mSelector.directory().storeRestored(mDependencies.loop.now());
+    mQuarantine.storeRestored();
+  }
 }
 
 void
--- a/src/serving/internal/upstreamdirectory.cpp
+++ b/src/serving/internal/upstreamdirectory.cpp
@@ -1,5 +1,6 @@
 #include "serving/upstreamdirectory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace savoryrill::serving {
@@ -22,13 +23,11 @@
     aChanges.push_back({ Kind::Returned, id });
   }
   const auto found = mEntries.find(id);
+  if (found == mEntries.end() && isOutdated(aEntry)) {
+    return;
+  }
   if (found == mEntries.end() || found->second.bornMs < aEntry.bornMs) {
-    const bool leaving = aEntry.leaving;
-    mEntries[id] = std::move(aEntry);
-    aChanges.push_back({ Kind::Added, id });
-    if (leaving) {
-      aChanges.push_back({ Kind::Leaving, id });
-    }
+    add(std::move(aEntry), aChanges);
     return;
   }
   if (found->second.bornMs > aEntry.bornMs) {
@@ -45,6 +44,62 @@
   found->second = std::move(aEntry);
 }
 
+void
+UpstreamDirectory::add(UpstreamEntry aEntry, std::vector<DirectoryChange>& aChanges)
+{
+  const std::string id = aEntry.id;
+  const bool leaving = aEntry.leaving;
+  mRemoved.erase(id);
+  mEntries[id] = std::move(aEntry);
+  aChanges.push_back({ Kind::Added, id });
+  if (leaving) {
+    aChanges.push_back({ Kind::Leaving, id });
+  }
+}
+
+/// True for an entry of a removed incarnation that a copy of the store has brought back.
+/// The first heartbeat that is read after the return may stand in the copy; this host may
+/// not have seen the latest one before the removal.
+bool
+UpstreamDirectory::isOutdated(const UpstreamEntry& aEntry)
+{
+  const auto found = mRemoved.find(aEntry.id);
+  if (found == mRemoved.end() || !found->second.restored ||
+      aEntry.bornMs > found->second.bornMs) {
+    return false;
+  }
+  auto& removed = found->second;
+  if (aEntry.bornMs == removed.bornMs && removed.heartbeat != 0 &&
+      aEntry.heartbeat > removed.heartbeat) {
+    return false;
+  }
+  removed.heartbeat = std::max(removed.heartbeat, aEntry.heartbeat);
+  return true;
+}
+
+void
+UpstreamDirectory::storeRestored(Instant aNow)
+{
+  mOutageEnded = aNow;
+  for (auto& [id, removed] : mRemoved) {
+    removed.restored = true;
+    removed.heartbeat = 0;
+  }
+}
+
+void
+UpstreamDirectory::erase(const std::string& aId, std::vector<DirectoryChange>& aChanges)
+{
+  const auto found = mEntries.find(aId);
+  mRemoved[aId] = { found->second.bornMs, ++mRemovals };
+  if (mRemoved.size() > kMaxRemoved) {
+    mRemoved.erase(std::ranges::min_element(
+      mRemoved, {}, [](const auto& aItem) { return aItem.second.order; }));
+  }
+  mEntries.erase(found);
+  aChanges.push_back({ Kind::Vanished, aId });
+}
+
 bool
 UpstreamDirectory::afterOutage(Instant aNow) const
 {
@@ -69,9 +124,8 @@
     mMissingUntil.try_emplace(aId, ended + kReturnTime);
     return;
   }
-  mEntries.erase(found);
   mMissingUntil.erase(aId);
-  aChanges.push_back({ Kind::Vanished, aId });
+  erase(aId, aChanges);
 }
 
 void
@@ -101,6 +155,7 @@
                          std::vector<DirectoryChange>& aChanges)
 {
   for (auto entry : aUpdate.entries) {
+    mRemoved.erase(entry.id); // the other host has looked at its heartbeats
     const auto found = mEntries.find(entry.id);
     if (found != mEntries.end() && found->second.bornMs == entry.bornMs) {
       // Updates carry neither heartbeats nor reports, so the last ones stay.
@@ -131,8 +186,7 @@
       ++item;
       continue;
     }
-    mEntries.erase(item->first);
-    aChanges.push_back({ Kind::Vanished, item->first });
+    erase(item->first, aChanges);
     item = mMissingUntil.erase(item);
   }
 }
--- a/src/serving/tests/upstreamdirectorytest.cpp
+++ b/src/serving/tests/upstreamdirectorytest.cpp
@@ -134,3 +134,42 @@
   directory.remove("u", now, changes);
   CHECK_TRUE(directory.find("u") == nullptr);
 }
+
+// Guards against requests to an upstream that is gone: a copy of the store still lists
+// it.
+TEST(UpstreamDirectory, CopyHoldsRemovedIncarnation_UsedOnceItsHeartbeatsGoOn)
+{
+  update(entry("u", 1, 5));
+  directory.readSucceeded(now);
+  directory.remove("u", now, changes);
+  directory.storeRestored(now);
+  directory.replaceAll({ entry("u", 1, 9) }, now, changes);
+  directory.replaceAll({ entry("u", 1, 9) }, now, changes);
+  CHECK_TRUE(directory.find("u") == nullptr);
+  directory.replaceAll({ entry("u", 1, 10) }, now, changes);
+  CHECK_TRUE(directory.find("u") != nullptr);
+}
+
+TEST(UpstreamDirectory, CopyIsFollowedByNewIncarnation_UsedAtOnce)
+{
+  update(entry("u", 1, 5));
+  directory.readSucceeded(now);
+  directory.remove("u", now, changes);
+  directory.storeRestored(now);
+  update(entry("u", 2, 1));
+  CHECK_TRUE(directory.find("u") != nullptr);
+}
+
+// Guards against upstreams that get no requests, since the copy is older than their
+// entries.
+TEST(UpstreamDirectory, CopyLacksUpstream_KeptForReturnTime)
+{
+  update(entry("u"));
+  directory.readSucceeded(now);
+  directory.storeRestored(now);
+  directory.replaceAll({}, now, changes);
+  CHECK_TRUE(directory.find("u") != nullptr);
+  now += UpstreamDirectory::kReturnTime;
+  directory.expire(now, changes);
+  CHECK_TRUE(directory.find("u") == nullptr);
+}
--- a/src/serving/upstreamdirectory.h
+++ b/src/serving/upstreamdirectory.h
@@ -30,7 +30,9 @@
 /// it cannot be read, and entries of running upstreams may expire during that time. An
 /// incarnation that was leaving stays so, whatever later entries say. An entry that is
 /// missing right after the list was unreadable is kept for `kReturnTime`, since its
-/// upstream may only have been unable to renew it. Not thread safe; no I/O.
+/// upstream may only have been unable to renew it. After the store has come back from a
+/// copy, the list may hold upstreams again that were removed: a removed incarnation is
+/// used again once its heartbeats go on. Not thread safe; no I/O.
 class UpstreamDirectory
 {
 public:
@@ -38,6 +40,8 @@
   static constexpr Duration kReturnTime = 2s;
   /// Time without a successful read above which the list counts as unreadable.
   static constexpr Duration kOutageGap = 2500ms;
+  /// Maximum number of removed incarnations kept; above it the oldest are dropped.
+  static constexpr std::size_t kMaxRemoved = 512;
 
   /// Applies a changed entry of the list.
   void update(UpstreamEntry aEntry, Instant aNow, std::vector<DirectoryChange>& aChanges);
@@ -57,6 +61,10 @@
              Instant aNow,
              std::vector<DirectoryChange>& aChanges);
 
+  /// The store has come back from a copy: lists that are read from now on may lack
+  /// upstreams and hold removed ones.
+  void storeRestored(Instant aNow);
+
   /// Call after the changes of a successful read were applied.
   void readSucceeded(Instant aNow);
 
@@ -74,10 +82,25 @@
   const std::map<std::string, UpstreamEntry>& entries() const { return mEntries; }
 
 private:
+  /// An incarnation that the list no longer held.
+  struct Removed
+  {
+    std::int64_t bornMs = 0;
+    std::uint64_t order = 0; // of its removal
+    bool restored = false;   // the store has come back from a copy since
+    /// Highest one in the lists read since then; 0 if it was in none.
+    std::uint64_t heartbeat = 0;
+  };
+
   bool afterOutage(Instant aNow) const;
+  bool isOutdated(const UpstreamEntry& aEntry);
+  void erase(const std::string& aId, std::vector<DirectoryChange>& aChanges);
+  void add(UpstreamEntry aEntry, std::vector<DirectoryChange>& aChanges);
 
   std::map<std::string, UpstreamEntry> mEntries;
   std::map<std::string, Instant> mMissingUntil; // when a missing entry is removed, by id
+  std::map<std::string, Removed> mRemoved;      // by id
+  std::uint64_t mRemovals = 0;
   std::optional<Instant> mLastRead;
   std::optional<Instant> mOutageEnded;
 };
