Pause again when a new leader is restarted in its pause

The row now says whether its holder is still pausing; the next process of that host then pauses from its first read of the row.

Leadership, HolderIsRestartedInItsPause_PausesAgain.

--- a/src/gateway/internal/leaderrowcodec.cpp
+++ b/src/gateway/internal/leaderrowcodec.cpp
@@ -13,6 +13,7 @@
   value["term"] = aRow.term;
   value["released"] = aRow.released;
   value["era"] = Json::UInt64(aRow.era);
+  value["pausing"] = aRow.pausing;
   if (!aRow.successor.empty()) {
     value["successor"] = aRow.successor;
   }
@@ -40,6 +41,7 @@
   row.successor = stringMember(value, "successor").value_or("");
   row.era =
     unsignedMember<std::uint64_t>(value, "era").value_or(0); // 0: by an old release
+  row.pausing = flagMember(value, "pausing");
   return row;
 }
 
--- a/src/gateway/internal/leadertask.cpp
+++ b/src/gateway/internal/leadertask.cpp
@@ -290,7 +290,7 @@
 {
   const std::string term =
     std::to_string(std::uniform_int_distribution<std::uint64_t>(1, kMaxTerm)(mRandom));
-  const auto row = mLeadership.rowFor(aStep, term);
+  const auto row = mLeadership.rowFor(aStep, term, mDependencies.loop.now());
   const auto base = mLeadership.baseVersion();
   mLeadership.callSent(aStep, row.term, mDependencies.loop.now());
   mDependencies.store.writeRow(
--- a/src/serving/internal/leadership.cpp
+++ b/src/serving/internal/leadership.cpp
@@ -105,7 +105,7 @@
 }
 
 LeaderRow
-Leadership::rowFor(LeadershipStep aStep, const std::string& aTerm) const
+Leadership::rowFor(LeadershipStep aStep, const std::string& aTerm, Instant aNow) const
 {
   LeaderRow row;
   row.host = mOptions.host;
@@ -114,6 +114,8 @@
   row.released = aStep == LeadershipStep::Release;
   row.successor = row.released ? mSuccessor : "";
   row.era = mStoreEra;
+  row.pausing =
+    aNow < (aStep == LeadershipStep::Take ? firstOrderAfter(mRow, aNow) : mMayOrderFrom);
   return row;
 }
 
@@ -176,7 +178,9 @@
   if (aPrevious->host != mOptions.host) {
     return lastOrderOf(*aPrevious) + gap;
   }
-  return aNow; // orders of one host need no gap between them
+  // Orders of one host need no gap between them. A process of this host that was pausing
+  // had taken the row from another host, whose last order came before that.
+  return aPrevious->pausing ? mUnchangedSince + gap : aNow;
 }
 
 Instant
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -20,6 +20,7 @@
   StorePosition version = 0; // assigned by the table store
   std::string successor;     // of a released row: host to take it; empty: any
   std::uint64_t era = 0;     // of the store when the row was written
+  bool pausing = false; // the holder may not order yet, since it has just taken the row
 };
 
 enum class LeadershipStep
@@ -93,7 +94,7 @@
 
   /// The row to write for `Take`, `Renew` and `Release`. `aTerm` is used for a take only,
   /// each of which needs a new one.
-  LeaderRow rowFor(LeadershipStep aStep, const std::string& aTerm) const;
+  LeaderRow rowFor(LeadershipStep aStep, const std::string& aTerm, Instant aNow) const;
   /// Version that the row must still have for a write to apply; 0: no row may exist.
   StorePosition baseVersion() const { return mRow ? mRow->version : 0; }
 
--- a/src/serving/tests/leadershiptest.cpp
+++ b/src/serving/tests/leadershiptest.cpp
@@ -39,7 +39,7 @@
     if (next_step == LeadershipStep::None) {
       return false;
     }
-    const auto row = aLeadership.rowFor(next_step, aTerm);
+    const auto row = aLeadership.rowFor(next_step, aTerm, now);
     aLeadership.callSent(next_step, row.term, now);
     if (next_step == LeadershipStep::Read) {
       aLeadership.rowRead(stored, now);
@@ -202,7 +202,7 @@
     step(b, "tb");
     now += 50ms;
   }
-  auto row = b.rowFor(LeadershipStep::Take, "tb");
+  auto row = b.rowFor(LeadershipStep::Take, "tb", now);
   b.callSent(LeadershipStep::Take, row.term, now);
   row.version = ++version;
   stored = row;
@@ -440,3 +440,29 @@
   }
   CHECK_TRUE(now - resumed >= kLease + kHandoverGap);
 }
+
+// Guards against orders within the handover gap of those of the predecessor: the new
+// leader is restarted in its pause, and finds its own host in the row.
+TEST(Leadership, HolderIsRestartedInItsPause_PausesAgain)
+{
+  stored = LeaderRow{ "old", "old:1", "t0", false, version };
+  Leadership before(optionsOf("a"));
+  timeUntilLeading(before, "t1");
+  CHECK_FALSE(before.mayOrder(now));
+  const Instant taken = now;
+  now += 600ms;
+  settle(before, "t1"); // a renewal does not end the pause
+  Leadership after(optionsOf("a"));
+  CHECK_TRUE(timeUntilLeading(after, "t2") <= 100ms);
+  while (!after.mayOrder(now) && now - taken < 60s) {
+    settle(after, "t2");
+    now += 50ms;
+  }
+  CHECK_TRUE(now - taken >= kHandoverGap);
+  settle(after, "t2");
+  now += 500ms;
+  settle(after, "t2"); // the row says that the pause has passed
+  Leadership later(optionsOf("a"));
+  timeUntilLeading(later, "t3");
+  CHECK_TRUE(later.mayOrder(now));
+}
