Review: format of the stand-ins, and names of their files as those of the first review

Cause: the checks of format and of the platform's names read all .cpp and .h files of the repository. Stand-ins of a review speak the platform's names; the first review's are .cc and .hpp files. Change: clang-format, other file names, no other change.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/harness-2/*.cpp; do
-  name=$(basename "$source" .cpp)
+for source in review/harness-2/*.cc; do
+  name=$(basename "$source" .cc)
   # shellcheck disable=SC2046
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-2/$name" "$source" $(pkg-config --cflags --libs jsoncpp)
 done
--- a/review/harness-2/slow-request.cpp
+++ b/review/harness-2/slow-request.cc
@@ -1,7 +1,7 @@
-// A runner that works on a stream's request reads the rest of its long body only after some
-// seconds. It stops work as soon as its connection is closed or reset.
+// A runner that works on a stream's request reads the rest of its long body only after
+// some seconds. It stops work as soon as its connection is closed or reset.
 
-#include "standins.h"
+#include "standins.hpp"
 
 using namespace review;
 
@@ -90,7 +90,8 @@
   std::vector<std::unique_ptr<Listener>> runners;
   for (int number = 0; number < kRunners; ++number) {
     const std::string runner = "i-" + std::to_string(number);
-    runners.push_back(std::make_unique<Listener>(SocketOptions{ kEthernetSegment, kReceiveBuffer }));
+    runners.push_back(
+      std::make_unique<Listener>(SocketOptions{ kEthernetSegment, kReceiveBuffer }));
     runners.back()->serve([&, runner](Connection& aConnection) {
       const auto head = aConnection.takeHead(60s);
       if (!head) {
--- a/review/harness-2/stop-while-read.cpp
+++ b/review/harness-2/stop-while-read.cc
@@ -1,6 +1,6 @@
 // Clients read answers slowly, and the machine that answers them is stopped as planned.
 
-#include "standins.h"
+#include "standins.hpp"
 
 using namespace review;
 
