Read responses while a request is still being sent on a new connection

Callers got an early response (a 413, or one that has no length and has ended) only when the host had given up sending the request, 1.5 s later, or not at all. Cause: watchSocket() kept the watch of the connect phase, which waits for writability alone, as long as a part of the request was unsent. A kept connection was watched for both.

The watch is now made anew when either interest changes.

The fixture of OutboundConnection's tests moves into a header; ScriptedPeer can accept small segments, since over plain loopback the kernel takes 1 MB at once and nothing is left unsent (x86_64).

--- a/src/link/internal/outboundconnection.cpp
+++ b/src/link/internal/outboundconnection.cpp
@@ -348,10 +348,11 @@
   }
   const bool writable = !mConnected || hasUnsentOutput();
   const bool readable = mConnected && !mPaused;
-  if (mWatch && writable == mWatchesWritable) {
+  if (mWatch && writable == mWatchesWritable && readable == mWatchesReadable) {
     return;
   }
   mWatchesWritable = writable;
+  mWatchesReadable = readable;
   mWatch.reset();
   if (writable || readable) {
     mWatch = mLoop.watch(mSocket.fd(),
--- a/src/link/outboundconnection.h
+++ b/src/link/outboundconnection.h
@@ -125,6 +125,7 @@
   bool mClosed = false;
   bool mPaused = false;
   bool mWatchesWritable = false;
+  bool mWatchesReadable = false;
 };
 
 /// Opens connections to upstreams and keeps idle ones for reuse. Not thread safe.
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -9,10 +9,12 @@
 #include "link/listener.h"
 #include "link/outboundconnection.h"
 #include "link/requestclient.h"
+#include "link/tests/outboundfixture.h"
 #include "testing/loopwait.h"
 #include "testing/scriptedpeer.h"
 
 using namespace savoryrill;
+using link::RecordingExchange;
 using testing::RawConnection;
 using testing::rawResponse;
 using testing::ScriptedPeer;
@@ -55,29 +57,6 @@
   bool closing = false;
 };
 
-class RecordingExchange : public link::IExchangeHandler
-{
-public:
-  bool matchesResponse(const link::ResponseHead& aHead) override
-  {
-    const auto* id = link::findHeader(aHead.headers, "x-id");
-    return id == nullptr || *id == "own";
-  }
-  void responseStarted(const link::ResponseHead& aHead) override
-  {
-    status = aHead.status;
-  }
-  void responseData(std::string_view aData) override { body.append(aData); }
-  void responseFinished() override { finished = true; }
-  void exchangeFailed(link::ExchangeFault aFault) override { fault = aFault; }
-  bool done() const { return finished || fault.has_value(); }
-
-  int status = 0;
-  std::string body;
-  bool finished = false;
-  std::optional<link::ExchangeFault> fault;
-};
-
 constexpr std::size_t kEndlessBytes = 32UL * 1024 * 1024;
 // Above what one connection may read in two iterations of the loop.
 constexpr std::size_t kMaxBytesBeforeNextEvent = 256UL * 1024;
@@ -526,56 +505,7 @@
   flooded.onBody = nullptr;
 }
 
-TEST_GROUP(OutboundConnection)
-{
-  std::unique_ptr<event::Loop> loop;
-  std::unique_ptr<link::OutboundPool> pool;
-  std::unique_ptr<ScriptedPeer> peer;
-  RecordingExchange exchange;
-  std::shared_ptr<link::OutboundConnection> connection;
-  event::Watch mRest;
-
-  void setup() override
-  {
-    loop = std::move(event::Loop::create().value());
-    pool = std::make_unique<link::OutboundPool>(*loop, link::OutboundPool::Options{});
-  }
-
-  void teardown() override
-  {
-    connection.reset();
-    pool.reset();
-    peer.reset();
-    loop.reset();
-  }
-
-  template<typename T>
-  bool until(T aCondition)
-  {
-    return testing::runUntil(*loop, kTestLimit, aCondition);
-  }
-
-  void respondWith(std::string aBytes, bool aClose = false)
-  {
-    peer = std::make_unique<ScriptedPeer>(
-      *loop, [aBytes, aClose](RawConnection& aConnection, const std::string&) {
-        aConnection.send(aBytes);
-        if (aClose) {
-          aConnection.close();
-        }
-      });
-  }
-
-  bool sendRequest()
-  {
-    exchange = {};
-    connection = pool->take("u", { "127.0.0.1", peer->port() }, 4).connection;
-    connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, exchange);
-    const bool ended = until([&] { return exchange.done(); });
-    pool->giveBack("u", connection);
-    return ended;
-  }
-};
+TEST_GROUP_BASE(OutboundConnection, link::OutboundFixture){};
 
 TEST(OutboundConnection, IdleConnection_Reused)
 {
--- a/src/testing/internal/scriptedpeer.cpp
+++ b/src/testing/internal/scriptedpeer.cpp
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <cerrno>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -125,6 +126,12 @@
   mSocket.reset();
 }
 
+void
+RawConnection::endSending()
+{
+  shutdown(mSocket.fd(), SHUT_WR);
+}
+
 void
 RawConnection::read()
 {
@@ -142,12 +149,15 @@
   }
 }
 
-ScriptedPeer::ScriptedPeer(event::Loop& aLoop, Answer aAnswer)
+ScriptedPeer::ScriptedPeer(event::Loop& aLoop, Answer aAnswer, int aSegment)
   : mLoop(aLoop)
   , mAnswer(std::move(aAnswer))
   , mListener(std::move(link::listenOn({ "127.0.0.1", freePort() }).value()))
   , mPort(boundPort(mListener.fd()))
 {
+  if (aSegment > 0) {
+    setsockopt(mListener.fd(), IPPROTO_TCP, TCP_MAXSEG, &aSegment, sizeof aSegment);
+  }
   mWatch =
     mLoop.watch(mListener.fd(), { true, false }, [this](event::Interest) { accept(); });
 }
--- a/src/testing/scriptedpeer.h
+++ b/src/testing/scriptedpeer.h
@@ -21,9 +21,12 @@
   static std::unique_ptr<RawConnection> connect(event::Loop& aLoop, std::uint16_t aPort);
 
   void send(std::string_view aBytes);
-  /// Ends the connection cleanly or with a reset.
+  /// Ends the connection cleanly or with a reset. The kernel sends a reset for `close`,
+  /// too, if received bytes are unread.
   void close();
   void reset();
+  /// Sends the end of the input and goes on reading.
+  void endSending();
 
   /// Stops and resumes reading.
   void pause(bool aPaused);
@@ -45,6 +48,10 @@
   bool mEnded = false;
 };
 
+/// The segment size of Ethernet. With that of loopback, 65,483 bytes, the kernel takes a
+/// request of 1 MB at once, and nothing of it is left unsent.
+inline constexpr int kEthernetSegment = 1400;
+
 /// An upstream of a test that answers with raw bytes. Counts the requests that it has
 /// received in full. Not thread safe.
 class ScriptedPeer
@@ -52,7 +59,8 @@
 public:
   using Answer = std::function<void(RawConnection&, const std::string& aRequest)>;
 
-  ScriptedPeer(event::Loop& aLoop, Answer aAnswer);
+  /// `aSegment`: size of the segments that it accepts in bytes; 0: that of the link.
+  ScriptedPeer(event::Loop& aLoop, Answer aAnswer, int aSegment = 0);
 
   std::uint16_t port() const { return mPort; }
   /// Whole requests, in the order of their arrival.
