Do not take a reset during a request for the end of a response

Cause: a socket reports its error only once. While a part of the request is unsent, flush() runs before readInput(), so sendmsg() gets the error and drops it. recv() then returns the bytes that are left and 0, as after an end in order, and with Framing::UntilClose that is the end of the response.

A failed send is now remembered, and the end that follows fails the exchange. The one exception is EPIPE: the kernel reports a reset as EPIPE, not ECONNRESET, if the peer had ended its side in order before, and the response is then whole. All users of OutboundConnection share this: upstreams, streams and the store.

--- a/src/link/internal/outboundconnection.cpp
+++ b/src/link/internal/outboundconnection.cpp
@@ -224,6 +224,9 @@
       failExchange(ExchangeFault::NotConnected);
       return;
     } else {
+      // The socket reports its error only once, and later reads end as after an orderly
+      // end. EPIPE: the upstream had ended its side in order before.
+      mInputBroken = errno != EPIPE;
       // The upstream may have sent a response before it closed the connection, so reading
       // continues. A value above 0 keeps the request marked as started.
       mReusable = false;
@@ -256,7 +259,7 @@
     } else if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
       break;
     } else {
-      handleInputEnd(size == 0);
+      handleInputEnd(size == 0 && !mInputBroken);
       return;
     }
   }
--- a/src/link/outboundconnection.h
+++ b/src/link/outboundconnection.h
@@ -123,6 +123,7 @@
   bool mConnected = false;
   bool mReusable = true;
   bool mClosed = false;
+  bool mInputBroken = false; // sending failed: the end of the input is not orderly
   bool mPaused = false;
   bool mWatchesWritable = false;
   bool mWatchesReadable = false;
--- a/src/link/tests/resetresponsetest.cpp
+++ b/src/link/tests/resetresponsetest.cpp
@@ -21,6 +21,7 @@
   "HTTP/1.0 200 OK\r\n\r\n",
   "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
 };
+const std::vector<std::size_t> kPartSizes{ 0, 3, 10000, 65000 };
 
 } // namespace
 
@@ -70,6 +71,56 @@
   STRCMP_EQUAL("whole", exchange.body.c_str());
 }
 
+// Guards against a part of a response that counts as a whole one: the error of the reset
+// is reported once, to whichever call asks first, and a send asks before a read.
+TEST(ResponseDuringUpload, ConnectionIsReset_Fails)
+{
+  for (const auto& head : kUnframedHeads) {
+    for (const std::size_t size : kPartSizes) {
+      CHECK_TRUE(upload(head + std::string(size, 'p'),
+                        [](RawConnection& aConnection) { aConnection.reset(); }));
+      CHECK_FALSE_TEXT(exchange.finished, (head + std::to_string(size)).c_str());
+      CHECK_TRUE(exchange.fault == link::ExchangeFault::Broken);
+    }
+  }
+}
+
+// Guards against the same after a part of the response has been read.
+TEST(ResponseDuringUpload, ConnectionIsResetAfterPartWasRead_Fails)
+{
+  for (const auto& head : kUnframedHeads) {
+    CHECK_TRUE(upload(head + "part", [&](RawConnection& aConnection) {
+      until([&] { return exchange.body == "part"; });
+      aConnection.reset();
+    }));
+    CHECK_FALSE_TEXT(exchange.finished, head.c_str());
+    CHECK_TRUE(exchange.fault == link::ExchangeFault::Broken);
+  }
+}
+
+// Guards against a process that ends while its part of the request is unread: the kernel
+// then sends a reset, no end.
+TEST(ResponseDuringUpload, PeerClosesWithRequestUnread_Fails)
+{
+  for (const auto& head : kUnframedHeads) {
+    CHECK_TRUE(upload(head + "part", [&](RawConnection& aConnection) {
+      until([&] { return exchange.body == "part"; });
+      aConnection.close();
+    }));
+    CHECK_FALSE_TEXT(exchange.finished, head.c_str());
+    CHECK_TRUE(exchange.fault == link::ExchangeFault::Broken);
+  }
+}
+
+// Guards against an upstream that reads a long request late and whose response counts as
+// complete when this host gives up sending.
+TEST(ResponseDuringUpload, RequestIsNotReadWithinPeerTimeout_Fails)
+{
+  CHECK_TRUE(upload(kUnframedHeads[0] + "part", [](RawConnection&) {}));
+  CHECK_FALSE(exchange.finished);
+  CHECK_TRUE(exchange.fault == link::ExchangeFault::Broken);
+}
+
 // Guards against refusing a whole response since its request was not read.
 TEST(ResponseDuringUpload, PeerEndsItsSideInOrder_Finishes)
 {
