Refuse start lines that the protocol does not allow

Callers got a response with the status 000 of an upstream in trouble as an answer, signed, with the status line "HTTP/1.1 0 -". The same with 0, 20, 0200, 600 and 999, and with control characters in the reason. A 101, which no request asks for, counted as an interim response.

Cause: http_parser, as Debian builds it, is lenient, and no other place stated which bytes are a message. (That a 000 without a length got 502 was chance: handleInputEnd() takes a status of 0 for a head that has not arrived.)

MessageGrammar checks each byte before http_parser sees it, in whatever pieces it arrives; this commit covers start lines. MessageParser then checks the status before any listener sees the head, so all readers share it: upstreams, streams, the store, interim responses, responses to others that are skipped, and the requests of callers. What RFC 9112 leaves to recipients goes on as before: a line feed alone, a missing space before an empty reason, empty lines before a request.

--- /dev/null
+++ b/src/link/internal/messagegrammar.cpp
@@ -0,0 +1,136 @@
+#include "link/messagegrammar.h"
+
+namespace savoryrill::link {
+
+namespace {
+
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+constexpr int kSwitchingProtocols = 101;
+constexpr std::string_view kVersionStart = "HTTP/1.";
+constexpr std::size_t kStatusDigits = 3;
+
+bool
+isDigit(char aByte)
+{
+  return aByte >= '0' && aByte <= '9';
+}
+
+bool
+isTokenCharacter(char aByte)
+{
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return isDigit(aByte) || (aByte >= 'A' && aByte <= 'Z') ||
+         (aByte >= 'a' && aByte <= 'z') || kMarks.find(aByte) != std::string_view::npos;
+}
+
+/// True unless the byte is a blank or a control character.
+bool
+isVisible(char aByte)
+{
+  const auto code = static_cast<unsigned char>(aByte);
+  return code > 0x20 && code != 0x7F;
+}
+
+bool
+isBlank(char aByte)
+{
+  return aByte == ' ' || aByte == '\t';
+}
+
+} // namespace
+
+bool
+isResponseStatus(int aStatus)
+{
+  return aStatus >= kMinStatus && aStatus <= kMaxStatus && aStatus != kSwitchingProtocols;
+}
+
+std::size_t
+MessageGrammar::check(std::string_view aData)
+{
+  if (mFailed) {
+    return 0;
+  }
+  if (mState == State::Body) {
+    return aData.size();
+  }
+  std::size_t at = 0;
+  while (at < aData.size() && mState != State::Body) {
+    if (!accept(aData[at])) {
+      mFailed = true;
+      break;
+    }
+    ++at;
+  }
+  return at;
+}
+
+bool
+MessageGrammar::proceed(State aState)
+{
+  mState = aState;
+  mPosition = 0;
+  return true;
+}
+
+bool
+MessageGrammar::accept(char aByte)
+{
+  switch (mState) {
+    case State::LineEnd:
+      return acceptLineEnd(aByte);
+    case State::Text:
+      return isVisible(aByte) || isBlank(aByte) || acceptLineEnd(aByte);
+    case State::LineFeed:
+      return aByte == '\n' && proceed(State::Body);
+    case State::Body:
+      return true;
+    default:
+      return acceptInStartLine(aByte);
+  }
+}
+
+bool
+MessageGrammar::acceptInStartLine(char aByte)
+{
+  switch (mState) {
+    case State::Start:
+      if (mKind == MessageKind::Request) {
+        const bool empty_line = aByte == '\r' || aByte == '\n';
+        return empty_line || (isTokenCharacter(aByte) && proceed(State::Method));
+      }
+      return proceed(State::Version) && acceptInStartLine(aByte);
+    case State::Method:
+      return aByte == ' ' ? proceed(State::TargetStart) : isTokenCharacter(aByte);
+    case State::TargetStart:
+      return isVisible(aByte) && proceed(State::Target);
+    case State::Target:
+      return aByte == ' ' ? proceed(State::Version) : isVisible(aByte);
+    case State::Version:
+      if (mPosition < kVersionStart.size()) {
+        return aByte == kVersionStart[mPosition++];
+      }
+      return isDigit(aByte) &&
+             proceed(mKind == MessageKind::Request ? State::LineEnd : State::StatusStart);
+    case State::StatusStart:
+      return aByte == ' ' && proceed(State::Status);
+    case State::Status:
+      return isDigit(aByte) && (++mPosition < kStatusDigits || proceed(State::StatusEnd));
+    case State::StatusEnd:
+      return aByte == ' ' ? proceed(State::Text) : acceptLineEnd(aByte);
+    default:
+      return false;
+  }
+}
+
+bool
+MessageGrammar::acceptLineEnd(char aByte)
+{
+  if (aByte == '\r') {
+    return proceed(State::LineFeed);
+  }
+  return aByte == '\n' && proceed(State::Body);
+}
+
+} // namespace savoryrill::link
--- a/src/link/internal/messageparser.cpp
+++ b/src/link/internal/messageparser.cpp
@@ -70,6 +70,9 @@
       return -1;
     }
     parser.mLength = aParser->content_length;
+    if (!parser.headIsAllowed()) {
+      return -1;
+    }
     return parser.mListener.headReceived() ? 0 : 1;
   }
   static int body(http_parser* aParser, const char* aData, std::size_t aSize)
@@ -80,6 +83,7 @@
   static int complete(http_parser* aParser)
   {
     self(aParser).mInMessage = false;
+    self(aParser).mGrammar.restart();
     http_parser_pause(aParser, 1);
     self(aParser).mListener.messageReceived();
     return 0;
@@ -101,7 +105,9 @@
 };
 
 MessageParser::MessageParser(Kind aKind, IMessageListener& aListener)
-  : mListener(aListener)
+  : mGrammar(aKind)
+  , mKind(aKind)
+  , mListener(aListener)
 {
   http_parser_init(&mParser, aKind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   mParser.data = this;
@@ -132,19 +138,26 @@
     // limit.
     mHeadBytes += aData.size();
   }
-  const std::size_t taken =
-    http_parser_execute(&mParser, &kSettings, aData.data(), aData.size());
-  const auto error = HTTP_PARSER_ERRNO(&mParser);
-  if (error == HPE_PAUSED) {
-    http_parser_pause(&mParser, 0);
-    return taken;
-  }
-  if (mHeadTooLarge) {
-    return taken;
-  }
-  if (error != HPE_OK || mParser.upgrade != 0) {
-    mFailed = true;
-    return taken;
+  std::size_t taken = 0;
+  while (taken < aData.size()) {
+    const auto rest = aData.substr(taken);
+    // Ends with the head, whose framing decides what the next bytes have to be.
+    const std::size_t allowed = mGrammar.check(rest);
+    if (allowed > 0) { // 0 bytes would mean the end of the connection
+      taken += http_parser_execute(&mParser, &kSettings, rest.data(), allowed);
+    }
+    const auto error = HTTP_PARSER_ERRNO(&mParser);
+    if (error == HPE_PAUSED) {
+      http_parser_pause(&mParser, 0);
+      return taken;
+    }
+    if (mHeadTooLarge) {
+      return taken;
+    }
+    if (error != HPE_OK || mParser.upgrade != 0 || mGrammar.failed()) {
+      mFailed = true;
+      return taken;
+    }
   }
   if (mInMessage && !mHeadDone && mHeadBytes > mMaxHeadBytes) {
     mHeadTooLarge = true;
@@ -155,6 +168,12 @@
   return taken;
 }
 
+bool
+MessageParser::headIsAllowed() const
+{
+  return mKind == Kind::Request || isResponseStatus(status());
+}
+
 std::size_t
 MessageParser::headMemory() const
 {
--- a/src/link/internal/messageparser.h
+++ b/src/link/internal/messageparser.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 
+#include "link/messagegrammar.h"
 #include "link/types/message.h"
 
 namespace savoryrill::link {
@@ -24,15 +25,13 @@
 
 /// Parses the HTTP/1.1 messages of one connection with http_parser and keeps the head of
 /// the current message. Stops after each message, so that the owner decides whether to
-/// parse the next one. Not thread safe.
+/// parse the next one. The only place that decides which bytes are messages: http_parser
+/// is lenient, so it sees only bytes that `MessageGrammar` allows, and the listener sees
+/// only heads whose status is allowed. Not thread safe.
 class MessageParser
 {
 public:
-  enum class Kind
-  {
-    Request,
-    Response
-  };
+  using Kind = MessageKind;
 
   MessageParser(Kind aKind, IMessageListener& aListener);
   MessageParser(const MessageParser&) = delete;
@@ -78,8 +77,11 @@
 
   struct Callbacks;
   void reset();
+  bool headIsAllowed() const;
 
   http_parser mParser{};
+  MessageGrammar mGrammar;
+  Kind mKind;
   IMessageListener& mListener;
   std::size_t mMaxHeadBytes = 64UL * 1024;
   std::size_t mHeadBytes = 0;
--- /dev/null
+++ b/src/link/messagegrammar.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace savoryrill::link {
+
+enum class MessageKind
+{
+  Request,
+  Response
+};
+
+/// True for the statuses that a response may have (RFC 9110, 15). No request of this
+/// product asks for another protocol, so 101 is none of them. Thread safe.
+bool
+isResponseStatus(int aStatus);
+
+/// Checks the bytes of HTTP/1.1 messages against the grammar of RFC 9112: start lines.
+/// Parsers of libraries accept more than that.
+///
+/// As RFC 9112 permits to recipients, a line feed alone ends a line of a head (2.2), the
+/// space before an empty reason may be missing (4), and empty lines may precede a request
+/// (2.2). Targets may hold bytes above 127. Not thread safe.
+class MessageGrammar
+{
+public:
+  explicit MessageGrammar(MessageKind aKind)
+    : mKind(aKind)
+  {
+  }
+
+  /// Checks up to the end of the data, or of the start line, and returns the
+  /// number of bytes that are allowed. Accepts any bytes in other bodies.
+  std::size_t check(std::string_view aData);
+
+  /// True once a byte was not allowed; nothing is accepted after it.
+  bool failed() const { return mFailed; }
+
+  /// The next byte begins a message.
+  void restart() { mState = State::Start; }
+
+private:
+  enum class State
+  {
+    Start,
+    Method,
+    TargetStart,
+    Target,
+    Version,
+    StatusStart,
+    Status,
+    StatusEnd,
+    LineEnd,
+    Text, // a reason
+    LineFeed,
+    Body // not checked
+  };
+
+  bool accept(char aByte);
+  bool acceptInStartLine(char aByte);
+  bool acceptLineEnd(char aByte);
+  bool proceed(State aState);
+
+  MessageKind mKind;
+  State mState = State::Start;
+  std::size_t mPosition = 0; // in the version or the status
+  bool mFailed = false;
+};
+
+} // namespace savoryrill::link
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -636,6 +636,20 @@
   CHECK_FALSE(exchange.finished);
 }
 
+// Guards against a head that is not checked since its response is not the awaited one.
+TEST(OutboundConnection, SkippedResponseIsNotAllowed_Malformed)
+{
+  const std::string own = rawResponse(200, "X-Id: own\r\n", "mine");
+  for (const auto* skipped :
+       { "HTTP/1.1 099 Early\r\n\r\n",
+         "HTTP/1.1 000 -\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n" }) {
+    respondWith(skipped + own);
+    CHECK_TRUE(sendRequest());
+    CHECK_TRUE_TEXT(exchange.fault == link::ExchangeFault::Malformed, skipped);
+    LONGS_EQUAL_TEXT(0, exchange.status, skipped);
+  }
+}
+
 TEST(OutboundConnection, BytesAreNotAResponse_Malformed)
 {
   respondWith("garbage\r\n\r\n");
--- /dev/null
+++ b/src/link/tests/messageparsertest.cpp
@@ -0,0 +1,191 @@
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "link/internal/messageparser.h"
+
+// Which bytes are messages, and which are not. Each text is parsed whole and byte by
+// byte, as it may arrive in any pieces.
+
+using namespace savoryrill;
+using link::MessageParser;
+
+namespace {
+
+class RecordingListener : public link::IMessageListener
+{
+public:
+  bool headReceived() override
+  {
+    ++heads;
+    return true;
+  }
+  void bodyReceived(std::string_view aData) override { body.append(aData); }
+  void messageReceived() override { ++messages; }
+
+  int heads = 0;
+  int messages = 0;
+  std::string body;
+};
+
+struct Outcome
+{
+  bool failed = false;
+  int heads = 0;
+  int messages = 0;
+  std::string body;
+};
+
+/// Parses `aText` in pieces of `aPiece` bytes up to the end of the connection.
+Outcome
+parse(MessageParser::Kind aKind, std::string_view aText, std::size_t aPiece)
+{
+  RecordingListener listener;
+  MessageParser parser(aKind, listener);
+  while (!aText.empty() && !parser.failed()) {
+    const std::size_t taken = parser.parse(aText.substr(0, aPiece));
+    aText.remove_prefix(taken);
+  }
+  if (parser.inMessage() && !parser.failed()) {
+    parser.finish();
+  }
+  return { parser.failed(), listener.heads, listener.messages, listener.body };
+}
+
+std::string
+visible(std::string_view aText)
+{
+  std::string result;
+  for (const char byte : aText) {
+    const auto code = static_cast<unsigned char>(byte);
+    result += code >= 0x20 && code != 0x7F ? std::string(1, byte)
+                                           : "<" + std::to_string(code) + ">";
+  }
+  return result;
+}
+
+const std::string kEnd = "Content-Length: 4\r\n\r\nbody";
+
+/// Bytes that may not be part of a name, a reason or a value.
+const std::vector<char> kControls{ '\0', '\x01', '\x07', '\x0b', '\x1f', '\x7f' };
+
+} // namespace
+
+TEST_GROUP(MessageParser)
+{
+  std::string unexpected; // texts with another outcome than expected
+
+  void teardown() override
+  {
+    STRCMP_EQUAL("", unexpected.c_str());
+  }
+
+  void expect(MessageParser::Kind aKind,
+              const std::string& aText,
+              const std::function<bool(const Outcome&)>& aIsExpected)
+  {
+    for (const std::size_t piece : { aText.size(), std::size_t{ 1 } }) {
+      if (!aIsExpected(parse(aKind, aText, piece))) {
+        unexpected += "\n" + visible(aText);
+      }
+    }
+  }
+
+  /// No listener may see the head of such a message.
+  void expectHeadRefused(MessageParser::Kind aKind, const std::string& aText)
+  {
+    expect(aKind, aText, [](const Outcome& aOutcome) {
+      return aOutcome.failed && aOutcome.heads == 0;
+    });
+  }
+
+  void expectWhole(
+    MessageParser::Kind aKind, const std::string& aText, const std::string& aBody)
+  {
+    expect(aKind, aText, [&](const Outcome& aOutcome) {
+      return !aOutcome.failed && aOutcome.messages == 1 && aOutcome.body == aBody;
+    });
+  }
+};
+
+// Guards against a status that is none, which a caller gets as a response.
+TEST(MessageParser, StatusIsNoStatus_Refused)
+{
+  for (const auto* status :
+       { "000", "001", "099", "0",    "2",     "20",  "0200", "00200",
+         "600", "999", "101", "2000", "99999", "2OO", "-20",  "+200",
+         "20x", "x00", "",    " 200", "\t200", "2 0" }) {
+    expectHeadRefused(MessageParser::Kind::Response,
+                      "HTTP/1.1 " + std::string(status) + " OK\r\n" + kEnd);
+    expectHeadRefused(MessageParser::Kind::Response,
+                      "HTTP/1.1 " + std::string(status) + "\r\n" + kEnd);
+  }
+}
+
+// Guards against bytes that are passed on as a response although they only resemble one.
+TEST(MessageParser, StatusLineIsNotAllowed_Refused)
+{
+  std::vector<std::string> lines{
+    "HTTP/2.0 200 OK",   "HTTP/0.9 200 OK",   "HTTP/11 200 OK",   "HTTP/1.11 200 OK",
+    "HTTP/1. 200 OK",    "HTTP/1.1200 OK",    "HTTP/1.1\t200 OK", "http/1.1 200 OK",
+    "HTTP/1.1 200\tOK",  "HTTP/1.1 200 O\rK", " HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK",
+    "\nHTTP/1.1 200 OK", "HTTP/1.1 200 OK\r", "ICY 200 OK",
+  };
+  for (const char byte : kControls) {
+    lines.push_back("HTTP/1.1 200 O" + std::string(1, byte) + "K");
+    lines.push_back("HTTP/1.1 200" + std::string(1, byte) + "OK");
+  }
+  for (const auto& line : lines) {
+    expectHeadRefused(MessageParser::Kind::Response, line + "\r\n" + kEnd);
+  }
+}
+
+TEST(MessageParser, StatusLineIsAllowed_Whole)
+{
+  for (const auto* line : { "HTTP/1.1 200 OK",
+                            "HTTP/1.1 200 ",
+                            "HTTP/1.1 200",
+                            "HTTP/1.0 200 OK",
+                            "HTTP/1.9 200 OK",
+                            "HTTP/1.1 599 \tA reason, of 4 \"words\"",
+                            "HTTP/1.1 299 \xc3\xa9\xff" }) {
+    expectWhole(MessageParser::Kind::Response, line + std::string("\r\n") + kEnd, "body");
+    expectWhole(MessageParser::Kind::Response, line + std::string("\n") + kEnd, "body");
+  }
+}
+
+// The same for requests: what the grammar does not allow reaches no upstream.
+TEST(MessageParser, RequestLineIsNotAllowed_Refused)
+{
+  for (const auto* line : { "GET /a\tb HTTP/1.1",
+                            "GET /a\x01 HTTP/1.1",
+                            "GET /a\x0c HTTP/1.1",
+                            "GET  /a HTTP/1.1",
+                            "GET /a  HTTP/1.1",
+                            "GET /a HTTP/1.1 ",
+                            "GET /a HTTP/2.0",
+                            "GET /a HTTP/0.9",
+                            "GET /a",
+                            "GET /a HTTP/1.11",
+                            "GET /a\x7f HTTP/1.1",
+                            "GET\t/a HTTP/1.1" }) {
+    expectHeadRefused(MessageParser::Kind::Request,
+                      line + std::string("\r\nHost: a\r\n\r\n"));
+  }
+}
+
+TEST(MessageParser, RequestLineIsAllowed_Whole)
+{
+  for (const auto* line : { "POST /t HTTP/1.1",
+                            "POST /t?a=b&c=%20 HTTP/1.0",
+                            "OPTIONS * HTTP/1.1",
+                            "POST http://a/t HTTP/1.1",
+                            "POST /\xc3\xa9 HTTP/1.1",
+                            "\r\n\r\nPOST /t HTTP/1.1",
+                            "\nPOST /t HTTP/1.1" }) {
+    expectWhole(
+      MessageParser::Kind::Request, line + std::string("\r\nHost: a\r\n") + kEnd, "body");
+  }
+}
