Refuse header lines that the protocol does not allow

Callers got, as an answer and signed, a response in whose head the name of a header held a blank ("X Y: 1"), a line that began with one, or "Content-Length : 5" and "Transfer-Encoding : chunked". For the last two http_parser takes the length or the chunks, while this product neither drops nor replaces the line, as its name differs: the caller got both that line and a length of the gateway's. Control characters at the beginning of a value were passed on, too. The same lines of a caller's request reached upstreams.

MessageGrammar now checks header lines, also those of interim and skipped responses and of requests: a name is a token that ends with the colon, and values hold no control characters but tabs. Callers get 502, or 400 for their own lines.

A line that begins with a blank is refused. Folded lines, which no sender may generate, were joined by a blank before; RFC 9112 permits both (2.2, 5.2), and a rule without an exception needs no second reading of the line.

--- a/src/link/internal/messagegrammar.cpp
+++ b/src/link/internal/messagegrammar.cpp
@@ -83,6 +83,16 @@
     case State::Text:
       return isVisible(aByte) || isBlank(aByte) || acceptLineEnd(aByte);
     case State::LineFeed:
+      return aByte == '\n' && proceed(State::FieldStart);
+    case State::FieldStart:
+      if (aByte == '\r') {
+        return proceed(State::LastLineFeed);
+      }
+      return aByte == '\n' ? proceed(State::Body)
+                           : isTokenCharacter(aByte) && proceed(State::FieldName);
+    case State::FieldName:
+      return aByte == ':' ? proceed(State::Text) : isTokenCharacter(aByte);
+    case State::LastLineFeed:
       return aByte == '\n' && proceed(State::Body);
     case State::Body:
       return true;
@@ -130,7 +140,7 @@
   if (aByte == '\r') {
     return proceed(State::LineFeed);
   }
-  return aByte == '\n' && proceed(State::Body);
+  return aByte == '\n' && proceed(State::FieldStart);
 }
 
 } // namespace savoryrill::link
--- a/src/link/messagegrammar.h
+++ b/src/link/messagegrammar.h
@@ -16,8 +16,8 @@
 bool
 isResponseStatus(int aStatus);
 
-/// Checks the bytes of HTTP/1.1 messages against the grammar of RFC 9112: start lines.
-/// Parsers of libraries accept more than that.
+/// Checks the bytes of HTTP/1.1 messages against the grammar of RFC 9112: start lines
+/// and header lines. Parsers of libraries accept more than that.
 ///
 /// As RFC 9112 permits to recipients, a line feed alone ends a line of a head (2.2), the
 /// space before an empty reason may be missing (4), and empty lines may precede a request
@@ -30,7 +30,7 @@
   {
   }
 
-  /// Checks up to the end of the data, or of the start line, and returns the
+  /// Checks up to the end of the data, or of the head, and returns the
   /// number of bytes that are allowed. Accepts any bytes in other bodies.
   std::size_t check(std::string_view aData);
 
@@ -52,8 +52,11 @@
     Status,
     StatusEnd,
     LineEnd,
-    Text, // a reason
+    Text, // a reason or the value of a header line
     LineFeed,
+    FieldStart,
+    FieldName,
+    LastLineFeed,
     Body // not checked
   };
 
--- a/src/link/tests/linktest.cpp
+++ b/src/link/tests/linktest.cpp
@@ -176,6 +176,23 @@
   LONGS_EQUAL(0, handler.requests.size());
 }
 
+// Guards against a request that this host and an upstream would read differently.
+TEST(InboundConnection, FieldLineIsNotAllowed_Answered400)
+{
+  for (const auto* line : { "X Y: 1",
+                            "Content-Length : 4",
+                            "Transfer-Encoding : chunked",
+                            " X: 1",
+                            "X: 1\r\n folded",
+                            "X\x01: 1",
+                            "X: \x01" }) {
+    caller = RawConnection::connect(*loop, port);
+    caller->send("POST /x HTTP/1.1\r\nHost: a\r\n" + std::string(line) + "\r\n\r\nabcd");
+    CHECK_TRUE_TEXT(receives("HTTP/1.1 400"), line);
+    LONGS_EQUAL_TEXT(0, handler.requests.size(), line);
+  }
+}
+
 TEST(InboundConnection, HeadAboveLimit_Answered431)
 {
   caller->send("GET / HTTP/1.1\r\nHost: a\r\nX-Big: " + std::string(20000, 'x') +
@@ -641,7 +658,9 @@
 {
   const std::string own = rawResponse(200, "X-Id: own\r\n", "mine");
   for (const auto* skipped :
-       { "HTTP/1.1 099 Early\r\n\r\n",
+       { "HTTP/1.1 103 Early\r\nX Y: 1\r\n\r\n",
+         "HTTP/1.1 099 Early\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nX-Id: other\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n",
          "HTTP/1.1 000 -\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n" }) {
     respondWith(skipped + own);
     CHECK_TRUE(sendRequest());
--- a/src/link/tests/messageparsertest.cpp
+++ b/src/link/tests/messageparsertest.cpp
@@ -66,7 +66,10 @@
   return result;
 }
 
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+const std::string kEarly = "HTTP/1.1 103 Early\r\n";
 const std::string kEnd = "Content-Length: 4\r\n\r\nbody";
+const std::string kPost = "POST /t HTTP/1.1\r\nHost: a\r\n";
 
 /// Bytes that may not be part of a name, a reason or a value.
 const std::vector<char> kControls{ '\0', '\x01', '\x07', '\x0b', '\x1f', '\x7f' };
@@ -189,3 +192,66 @@
       MessageParser::Kind::Request, line + std::string("\r\nHost: a\r\n") + kEnd, "body");
   }
 }
+
+// Guards against header lines that a caller gets as they came, and against a length or
+// chunks that this host and its peer read differently.
+TEST(MessageParser, FieldLineIsNotAllowed_Refused)
+{
+  std::vector<std::string> lines{
+    "X Y: 1",
+    "X : 1",
+    "X\t: 1",
+    "X\tY: 1",
+    " X: 1",
+    "\tX: 1",
+    ": 1",
+    ":",
+    "X",
+    "X 1",
+    "Content-Length : 4",
+    "Content Length: 4",
+    "Transfer-Encoding : chunked",
+    "Transfer-Encoding\t: chunked",
+    "X: 1\r\n folded",
+    "X: 1\r\n\tfolded",
+    "X: 1\r\n Y: 2",
+    "Content-Length:\r\n 4",
+    "X: 1\rY: 2",
+    "X: 1\r\r",
+  };
+  for (const char separator : std::string("()<>@,;\\\"/[]?={}\x80\xff")) {
+    lines.push_back("X" + std::string(1, separator) + "Y: 1");
+  }
+  for (const char byte : kControls) {
+    const std::string text(1, byte);
+    lines.insert(lines.end(), { "X" + text + "Y: 1", text + "X: 1", "X" + text + ": 1" });
+    lines.insert(lines.end(), { "X: a" + text + "b", "X: " + text, "X:" + text });
+  }
+  for (const auto& line : lines) {
+    for (const auto& start : { kOk, kEarly }) {
+      expectHeadRefused(MessageParser::Kind::Response, start + line + "\r\n\r\n");
+      expectHeadRefused(MessageParser::Kind::Response,
+                        start + "Server: s\r\n" + line + "\r\n\r\n");
+    }
+    expectHeadRefused(MessageParser::Kind::Request, kPost + line + "\r\n\r\n");
+  }
+}
+
+TEST(MessageParser, FieldLineIsAllowed_Whole)
+{
+  for (const std::string& line : std::vector<std::string>{ "X:",
+                                                           "X: ",
+                                                           "X:\t",
+                                                           "X:1",
+                                                           "X:  1  ",
+                                                           "!#$%&'*+-.^_`|~09azAZ: 1",
+                                                           "X: \xc3\xa9\x80\xff",
+                                                           "X: a\tb",
+                                                           "X: a, \"b;c\" (d)=:e",
+                                                           "1: 1",
+                                                           "X: 1\r\nX: 2\r\nx: 3" }) {
+    expectWhole(MessageParser::Kind::Response, kOk + line + "\r\n" + kEnd, "body");
+    expectWhole(MessageParser::Kind::Response, kOk + line + "\n" + kEnd, "body");
+    expectWhole(MessageParser::Kind::Request, kPost + line + "\r\n" + kEnd, "body");
+  }
+}
