Refuse chunks that the protocol does not allow

Callers got a body as a whole success although the upstream's chunks do not add up: "4\r\nbodyXX0\r\n\r\n" came as "body". Cause: http_parser, as Debian builds it, takes any two bytes for the end of a chunk's data, any byte for the line feed after a size, and any bytes between a size and the end of its line, so a sender whose sizes are wrong is read out of step and not noticed.

MessageGrammar now checks the lines of chunks and trailers as well. Chunk data is counted, not looked at. Lines of chunks need both a carriage return and a line feed; extensions go on as before.

--- a/src/link/internal/messagegrammar.cpp
+++ b/src/link/internal/messagegrammar.cpp
@@ -1,5 +1,9 @@
 #include "link/messagegrammar.h"
 
+#include <algorithm>
+#include <limits>
+#include <optional>
+
 namespace savoryrill::link {
 
 namespace {
@@ -38,6 +42,17 @@
   return aByte == ' ' || aByte == '\t';
 }
 
+std::optional<std::uint64_t>
+hexValue(char aByte)
+{
+  if (isDigit(aByte)) {
+    return aByte - '0';
+  }
+  const char lower = static_cast<char>(aByte | 0x20);
+  return lower >= 'a' && lower <= 'f' ? std::optional<std::uint64_t>(lower - 'a' + 10)
+                                      : std::nullopt;
+}
+
 } // namespace
 
 bool
@@ -57,6 +72,15 @@
   }
   std::size_t at = 0;
   while (at < aData.size() && mState != State::Body) {
+    if (mState == State::ChunkData) {
+      const auto size = std::min<std::uint64_t>(mChunkLeft, aData.size() - at);
+      at += static_cast<std::size_t>(size);
+      mChunkLeft -= size;
+      if (mChunkLeft == 0) {
+        mState = State::ChunkDataEnd;
+      }
+      continue;
+    }
     if (!accept(aData[at])) {
       mFailed = true;
       break;
@@ -94,6 +118,15 @@
       return aByte == ':' ? proceed(State::Text) : isTokenCharacter(aByte);
     case State::LastLineFeed:
       return aByte == '\n' && proceed(State::Body);
+    case State::ChunkSizeStart:
+    case State::ChunkSize:
+    case State::ChunkExtensionStart:
+    case State::ChunkExtension:
+    case State::ChunkLineFeed:
+    case State::ChunkData:
+    case State::ChunkDataEnd:
+    case State::ChunkDataLineFeed:
+      return acceptInChunks(aByte);
     case State::Body:
       return true;
     default:
@@ -134,6 +167,44 @@
   }
 }
 
+/// The lines of chunks end with a carriage return and a line feed: RFC 9112 permits a
+/// line feed alone only in heads.
+bool
+MessageGrammar::acceptInChunks(char aByte)
+{
+  const auto digit = hexValue(aByte);
+  switch (mState) {
+    case State::ChunkSizeStart:
+      mChunkLeft = digit.value_or(0);
+      return digit && proceed(State::ChunkSize);
+    case State::ChunkSize:
+      if (digit) {
+        const bool fits = mChunkLeft <= std::numeric_limits<std::uint64_t>::max() >> 4U;
+        mChunkLeft = mChunkLeft << 4U | *digit;
+        return fits;
+      }
+      if (isBlank(aByte)) {
+        return proceed(State::ChunkExtensionStart);
+      }
+      return aByte == ';' ? proceed(State::ChunkExtension)
+                          : aByte == '\r' && proceed(State::ChunkLineFeed);
+    case State::ChunkExtensionStart:
+      return isBlank(aByte) || (aByte == ';' && proceed(State::ChunkExtension));
+    case State::ChunkExtension:
+      return isVisible(aByte) || isBlank(aByte) ||
+             (aByte == '\r' && proceed(State::ChunkLineFeed));
+    case State::ChunkLineFeed:
+      return aByte == '\n' &&
+             proceed(mChunkLeft == 0 ? State::FieldStart : State::ChunkData);
+    case State::ChunkDataEnd:
+      return aByte == '\r' && proceed(State::ChunkDataLineFeed);
+    case State::ChunkDataLineFeed:
+      return aByte == '\n' && proceed(State::ChunkSizeStart);
+    default:
+      return false;
+  }
+}
+
 bool
 MessageGrammar::acceptLineEnd(char aByte)
 {
--- a/src/link/internal/messageparser.cpp
+++ b/src/link/internal/messageparser.cpp
@@ -73,6 +73,9 @@
     if (!parser.headIsAllowed()) {
       return -1;
     }
+    if (parser.chunked()) {
+      parser.mGrammar.expectChunks();
+    }
     return parser.mListener.headReceived() ? 0 : 1;
   }
   static int body(http_parser* aParser, const char* aData, std::size_t aSize)
--- a/src/link/messagegrammar.h
+++ b/src/link/messagegrammar.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace savoryrill::link {
@@ -16,12 +17,13 @@
 bool
 isResponseStatus(int aStatus);
 
-/// Checks the bytes of HTTP/1.1 messages against the grammar of RFC 9112: start lines
-/// and header lines. Parsers of libraries accept more than that.
+/// Checks the bytes of HTTP/1.1 messages against the grammar of RFC 9112: start lines,
+/// header lines, chunks and trailers. Parsers of libraries accept more than that.
 ///
 /// As RFC 9112 permits to recipients, a line feed alone ends a line of a head (2.2), the
 /// space before an empty reason may be missing (4), and empty lines may precede a request
-/// (2.2). Targets may hold bytes above 127. Not thread safe.
+/// (2.2). Targets may hold bytes above 127, and what follows the semicolon of a chunk
+/// extension is only checked for control characters. Not thread safe.
 class MessageGrammar
 {
 public:
@@ -30,13 +32,16 @@
   {
   }
 
-  /// Checks up to the end of the data, or of the head, and returns the
+  /// Checks up to the end of the data, of the head or of a chunked body, and returns the
   /// number of bytes that are allowed. Accepts any bytes in other bodies.
   std::size_t check(std::string_view aData);
 
   /// True once a byte was not allowed; nothing is accepted after it.
   bool failed() const { return mFailed; }
 
+  /// A chunked body follows. Precondition: the head has ended.
+  void expectChunks() { mState = State::ChunkSizeStart; }
+
   /// The next byte begins a message.
   void restart() { mState = State::Start; }
 
@@ -57,17 +62,27 @@
     FieldStart,
     FieldName,
     LastLineFeed,
-    Body // not checked
+    Body, // not checked, or complete
+    ChunkSizeStart,
+    ChunkSize,
+    ChunkExtensionStart,
+    ChunkExtension,
+    ChunkLineFeed,
+    ChunkData,
+    ChunkDataEnd,
+    ChunkDataLineFeed
   };
 
   bool accept(char aByte);
   bool acceptInStartLine(char aByte);
+  bool acceptInChunks(char aByte);
   bool acceptLineEnd(char aByte);
   bool proceed(State aState);
 
   MessageKind mKind;
   State mState = State::Start;
   std::size_t mPosition = 0; // in the version or the status
+  std::uint64_t mChunkLeft = 0;
   bool mFailed = false;
 };
 
--- a/src/link/tests/messageparsertest.cpp
+++ b/src/link/tests/messageparsertest.cpp
@@ -69,6 +69,7 @@
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 const std::string kEarly = "HTTP/1.1 103 Early\r\n";
 const std::string kEnd = "Content-Length: 4\r\n\r\nbody";
+const std::string kChunked = kOk + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string kPost = "POST /t HTTP/1.1\r\nHost: a\r\n";
 
 /// Bytes that may not be part of a name, a reason or a value.
@@ -104,6 +105,14 @@
     });
   }
 
+  /// Its head may be right, but it must not end as a whole message.
+  void expectBodyRefused(MessageParser::Kind aKind, const std::string& aText)
+  {
+    expect(aKind, aText, [](const Outcome& aOutcome) {
+      return aOutcome.failed && aOutcome.messages == 0;
+    });
+  }
+
   void expectWhole(
     MessageParser::Kind aKind, const std::string& aText, const std::string& aBody)
   {
@@ -253,5 +262,58 @@
     expectWhole(MessageParser::Kind::Response, kOk + line + "\r\n" + kEnd, "body");
     expectWhole(MessageParser::Kind::Response, kOk + line + "\n" + kEnd, "body");
     expectWhole(MessageParser::Kind::Request, kPost + line + "\r\n" + kEnd, "body");
+    expectWhole(MessageParser::Kind::Response,
+                kChunked + "4\r\nbody\r\n0\r\n" + line + "\r\n\r\n",
+                "body");
+  }
+}
+
+// Guards against a body that is not the sender's: bytes between chunks are skipped, or
+// are taken for a size.
+TEST(MessageParser, ChunksAreNotAllowed_NeverWhole)
+{
+  std::vector<std::string> bodies{
+    "4\r\nbodyXX0\r\n\r\n",
+    "4\r\nbody\rX0\r\n\r\n",
+    "4\r\nbodyX\n0\r\n\r\n",
+    "4\r\nbody\n0\r\n\r\n",
+    "4\rXbody\r\n0\r\n\r\n",
+    "4\nbody\r\n0\r\n\r\n",
+    "4;a\nbody\r\n0\r\n\r\n",
+    "4 x\r\nbody\r\n0\r\n\r\n",
+    " 4\r\nbody\r\n0\r\n\r\n",
+    "+4\r\nbody\r\n0\r\n\r\n",
+    "0x4\r\nbody\r\n0\r\n\r\n",
+    "\r\n4\r\nbody\r\n0\r\n\r\n",
+    "4 \r\nbody\r\n0\r\n\r\n",
+    "4\r\nbody\r\n0\r\nX\r\n\r\n",
+    "4;\x01\r\nbody\r\n0\r\n\r\n",
+    "4;a\rXbody\r\n0\r\n\r\n",
+    "4\r\nbody\r\n0\rX\r\n",
+    "4\r\nbody\r\n0\r\n\rX",
+    "4\r\nbody\r\n;\r\n\r\n",
+    "4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n",
+    "4\r\nbody\r\n0\r\n X: 1\r\n\r\n",
+    "10000000000000004\r\nbody\r\n0\r\n\r\n",
+  };
+  for (const auto& body : bodies) {
+    expectBodyRefused(MessageParser::Kind::Response, kChunked + body);
+    expectBodyRefused(MessageParser::Kind::Request,
+                      kPost + "Transfer-Encoding: chunked\r\n\r\n" + body);
+  }
+}
+
+TEST(MessageParser, ChunksAreAllowed_Whole)
+{
+  for (const auto* body : { "4\r\nbody\r\n0\r\n\r\n",
+                            "0004\r\nbody\r\n000\r\n\r\n",
+                            "4;a=b\r\nbody\r\n0;c=\"d;e\"\r\n\r\n",
+                            "4 ;a\r\nbody\r\n0\r\n\r\n",
+                            "4  ; a = b\r\nbody\r\n0\r\n\r\n",
+                            "1\r\nb\r\n3\r\nody\r\n0\r\nX: 1\r\nY: 2\r\n\r\n" }) {
+    expectWhole(MessageParser::Kind::Response, kChunked + body, "body");
+    expectWhole(MessageParser::Kind::Request,
+                kPost + "Transfer-Encoding: chunked\r\n\r\n" + body,
+                "body");
   }
 }
