Refuse framing that the protocol does not allow

Callers got bodies that are not the upstream's: of a response with "Transfer-Encoding: gzip", "gzip, chunked" or "identity" the coded bytes as the body, without the header line that names the coding, since that line concerns one connection only. A response of HTTP/1.0 with chunks was read as well, and the bytes that an interim response or a 204 announces were read as its body, although it has none.

MessageParser now checks it before any listener sees the head: chunks are the only coding, named once, in HTTP/1.1; a length is a number; interim responses and 204 have neither chunks nor a length above 0.

--- a/src/link/internal/messageparser.h
+++ b/src/link/internal/messageparser.h
@@ -27,7 +27,7 @@
 /// the current message. Stops after each message, so that the owner decides whether to
 /// parse the next one. The only place that decides which bytes are messages: http_parser
 /// is lenient, so it sees only bytes that `MessageGrammar` allows, and the listener sees
-/// only heads whose status is allowed. Not thread safe.
+/// only heads whose status and framing are allowed. Not thread safe.
 class MessageParser
 {
 public:
@@ -78,6 +78,7 @@
   struct Callbacks;
   void reset();
   bool headIsAllowed() const;
+  bool framingIsAllowed() const;
 
   http_parser mParser{};
   MessageGrammar mGrammar;
--- a/src/link/tests/messageparsertest.cpp
+++ b/src/link/tests/messageparsertest.cpp
@@ -317,3 +317,69 @@
                 "body");
   }
 }
+
+// Guards against a body whose end this host and its peer see at different places, and
+// against one that is passed on in a coding that its header lines no longer name.
+TEST(MessageParser, FramingIsNotAllowed_Refused)
+{
+  const std::vector<std::string> fields{
+    "Content-Length:",
+    "Content-Length: ",
+    "Content-Length: x",
+    "Content-Length: -1",
+    "Content-Length: +4",
+    "Content-Length: 4x",
+    "Content-Length: 4 4",
+    "Content-Length: 4, 5",
+    "Content-Length: 4\r\nContent-Length: 5",
+    "Content-Length: 4\r\nContent-Length:",
+    "Content-Length: 99999999999999999999",
+    "Content-Length: 4\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked\r\nContent-Length: 4",
+    "Transfer-Encoding:",
+    "Transfer-Encoding: gzip",
+    "Transfer-Encoding: gzip, chunked",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked, chunked",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked, identity",
+    "Transfer-Encoding: identity",
+    "Transfer-Encoding: chunkedx",
+    "Transfer-Encoding: xchunked",
+  };
+  for (const auto& field : fields) {
+    expectHeadRefused(MessageParser::Kind::Response, kOk + field + "\r\n\r\nbody");
+    expectHeadRefused(MessageParser::Kind::Request, kPost + field + "\r\n\r\nbody");
+  }
+  expectHeadRefused(MessageParser::Kind::Response,
+                    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  expectHeadRefused(MessageParser::Kind::Request,
+                    "POST /t HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  // These have no body, so the bytes that follow belong to the next response.
+  for (const auto* status : { "100 Continue", "103 Early", "204 Empty" }) {
+    const std::string start = "HTTP/1.1 " + std::string(status) + "\r\n";
+    expectHeadRefused(MessageParser::Kind::Response, start + kEnd);
+    expectHeadRefused(MessageParser::Kind::Response,
+                      start + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  }
+}
+
+TEST(MessageParser, FramingIsAllowed_Whole)
+{
+  expectWhole(MessageParser::Kind::Response, kOk + kEnd, "body");
+  expectWhole(
+    MessageParser::Kind::Response, kOk + "content-length:4 \r\n\r\nbody", "body");
+  expectWhole(MessageParser::Kind::Response, kOk + "Content-Length: 0\r\n\r\n", "");
+  expectWhole(
+    MessageParser::Kind::Response, kOk + "Content-Length: 004\r\n\r\nbody", "body");
+  expectWhole(MessageParser::Kind::Response, kOk + "\r\nbody", "body");
+  expectWhole(MessageParser::Kind::Response, "HTTP/1.0 200 OK\r\n\r\nbody", "body");
+  expectWhole(MessageParser::Kind::Response,
+              kOk + "TRANSFER-ENCODING:Chunked \r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+              "body");
+  expectWhole(MessageParser::Kind::Response, "HTTP/1.1 204 Empty\r\n\r\n", "");
+  expectWhole(
+    MessageParser::Kind::Response, "HTTP/1.1 204 Empty\r\nContent-Length: 0\r\n\r\n", "");
+  expectWhole(MessageParser::Kind::Response, "HTTP/1.1 304 Same\r\n\r\n", "");
+  expectWhole(MessageParser::Kind::Request, kPost + "\r\n", "");
+}
