Refuse broken responses in the router's client as well

The same cause at the other reader of responses: http::Client, with which the router reads upstreams, the controllers read engines, and both read the platform. libcurl accepts the statuses 600 and 999, control characters in the reason and in values, header lines with a blank or a control character in the name, two lengths that differ, a length that ends in other characters, and transfer codings that it does not decode. The client's users got all of these as responses.

The client now checks each header line with MessageGrammar as libcurl hands it over, and the status and the framing when the head ends, before onHeaders. What is refused is an error (Malformed), for the router an invalid response of the upstream. The check of the framing moves from MessageParser to a function that both use. Trailers are checked and no longer added to the header lines. libcurl finds the ends of chunks itself; it skips bytes between a chunk's size and the end of its line, and the body is the peer's all the same, so that stays.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "link/messagegrammar.h"
+
 namespace savoryrill::http {
 
 namespace {
@@ -42,6 +44,10 @@
   ClientRequest request;
   ClientCallbacks callbacks;
   Response response;
+  link::MessageGrammar grammar{ link::MessageKind::Response };
+  link::HeaderList fields; // of the current head, in the order of their arrival
+  bool isHttp10 = false;
+  bool malformed = false;
   bool headersComplete = false;
   bool headersDelivered = false;
   bool oversize = false;
@@ -149,6 +155,18 @@
 {
   auto& transfer = *static_cast<Transfer*>(aTransfer);
   const size_t size = aSize * aCount;
+  // libcurl accepts more than the protocol allows, and passes header lines on as they
+  // came. It finds the ends of chunks itself.
+  if (transfer.headersComplete) {
+    transfer.grammar.expectTrailers();
+  }
+  if (transfer.grammar.check({ aData, size }) < size) {
+    transfer.malformed = true;
+    return 0; // makes libcurl fail the transfer
+  }
+  if (transfer.headersComplete) {
+    return size; // trailers are not passed on
+  }
   std::string line(aData, size);
   while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
     line.pop_back();
@@ -159,13 +177,24 @@
     long status = 0;
     curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
     transfer.response.status = static_cast<int>(status);
+    transfer.fields.clear();
+    transfer.isHttp10 = line.starts_with("HTTP/1.0");
   } else if (line.empty()) {
+    const int status = transfer.response.status;
+    if (!link::isResponseStatus(status) ||
+        !link::isAllowedFraming(transfer.fields, status, transfer.isHttp10)) {
+      transfer.malformed = true;
+      return 0;
+    }
+    transfer.grammar.restart(); // the next response, if this is an interim one
     transfer.headersComplete = transfer.response.status >= 200;
     transfer.markReady();
   } else if (const auto colon = line.find(':'); colon != std::string::npos) {
     const auto begin = line.find_first_not_of(" \t", colon + 1);
-    transfer.response.headers[line.substr(0, colon)] =
-      begin == std::string::npos ? "" : line.substr(begin);
+    const auto name = line.substr(0, colon);
+    const auto value = begin == std::string::npos ? "" : line.substr(begin);
+    transfer.fields.push_back({ name, value });
+    transfer.response.headers[name] = value;
   }
   return size;
 }
@@ -390,6 +419,9 @@
   if (aTransfer.oversize) {
     code = ErrorCode::LimitExceeded;
     message = "the answer body is above the limit";
+  } else if (aTransfer.malformed) {
+    code = ErrorCode::Malformed;
+    message = "the answer's head is not one of the protocol";
   } else if (aTransfer.forbidden) {
     code = ErrorCode::PermissionDenied;
     message = "the check before sending refused the request";
--- a/src/link/internal/messagegrammar.cpp
+++ b/src/link/internal/messagegrammar.cpp
@@ -53,6 +53,12 @@
                                       : std::nullopt;
 }
 
+std::string_view
+withoutBlanksAtEnd(std::string_view aText)
+{
+  return aText.substr(0, aText.find_last_not_of(" \t") + 1);
+}
+
 } // namespace
 
 bool
@@ -61,6 +67,32 @@
   return aStatus >= kMinStatus && aStatus <= kMaxStatus && aStatus != kSwitchingProtocols;
 }
 
+bool
+isAllowedFraming(const HeaderList& aHeaders, int aStatus, bool aIsHttp10)
+{
+  std::size_t lengths = 0;
+  std::size_t codings = 0;
+  bool announces_body = false;
+  for (const auto& header : aHeaders) {
+    const auto value = withoutBlanksAtEnd(header.value);
+    if (sameHeaderName(header.name, "content-length")) {
+      ++lengths;
+      announces_body = value.find_first_not_of('0') != std::string_view::npos;
+      if (value.empty() || !std::ranges::all_of(value, isDigit)) {
+        return false;
+      }
+    } else if (sameHeaderName(header.name, "transfer-encoding")) {
+      ++codings;
+      announces_body = true;
+      if (!sameHeaderName(value, "chunked") || aIsHttp10) {
+        return false;
+      }
+    }
+  }
+  const bool without_body = aStatus / 100 == 1 || aStatus == 204;
+  return lengths + codings <= 1 && !(without_body && announces_body);
+}
+
 std::size_t
 MessageGrammar::check(std::string_view aData)
 {
--- a/src/link/internal/messageparser.cpp
+++ b/src/link/internal/messageparser.cpp
@@ -174,35 +174,9 @@
 bool
 MessageParser::headIsAllowed() const
 {
-  return (mKind == Kind::Request || isResponseStatus(status())) && framingIsAllowed();
-}
-
-/// True if the end of the body can be found, and the body is passed on as it is: chunks
-/// are the only transfer coding, in HTTP/1.1 alone, and a length is a number.
-bool
-MessageParser::framingIsAllowed() const
-{
-  bool names_length = false;
-  std::size_t codings = 0;
-  for (const auto& header : mHeaders) {
-    if (sameHeaderName(header.name, "content-length")) {
-      names_length = true;
-    } else if (sameHeaderName(header.name, "transfer-encoding")) {
-      const std::string_view value = header.value;
-      if (!sameHeaderName(value.substr(0, value.find_last_not_of(" \t") + 1),
-                          "chunked")) {
-        return false;
-      }
-      ++codings;
-    }
-  }
-  if (codings > 1 || chunked() != (codings == 1) || names_length != hasLength()) {
-    return false;
-  }
-  // Such a response ends with its head, whatever its header lines announce.
-  const bool without_body =
-    mKind == Kind::Response && (status() / 100 == 1 || status() == 204);
-  return !(chunked() && (isHttp10() || without_body)) && !(without_body && length() > 0);
+  const bool is_response = mKind == Kind::Response;
+  return (!is_response || isResponseStatus(status())) &&
+         isAllowedFraming(mHeaders, is_response ? status() : 0, isHttp10());
 }
 
 std::size_t
--- a/src/link/internal/messageparser.h
+++ b/src/link/internal/messageparser.h
@@ -78,7 +78,6 @@
   struct Callbacks;
   void reset();
   bool headIsAllowed() const;
-  bool framingIsAllowed() const;
 
   http_parser mParser{};
   MessageGrammar mGrammar;
--- a/src/link/messagegrammar.h
+++ b/src/link/messagegrammar.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "link/types/message.h"
+
 namespace savoryrill::link {
 
 enum class MessageKind
@@ -17,6 +19,13 @@
 bool
 isResponseStatus(int aStatus);
 
+/// True if the header lines of a message mark the end of its body, and the body can be
+/// passed on as it is: chunks are the only transfer coding, in HTTP/1.1 alone, and a
+/// length is a number. Interim responses and 204 have neither chunks nor a length above 0
+/// (RFC 9112, 6). `aStatus`: 0 for a request. Thread safe.
+bool
+isAllowedFraming(const HeaderList& aHeaders, int aStatus, bool aIsHttp10);
+
 /// Checks the bytes of HTTP/1.1 messages against the grammar of RFC 9112: start lines,
 /// header lines, chunks and trailers. Parsers of libraries accept more than that.
 ///
@@ -42,6 +51,9 @@
   /// A chunked body follows. Precondition: the head has ended.
   void expectChunks() { mState = State::ChunkSizeStart; }
 
+  /// Trailers follow. Precondition: the head has ended.
+  void expectTrailers() { mState = State::FieldStart; }
+
   /// The next byte begins a message.
   void restart() { mState = State::Start; }
 
--- a/src/router/internal/attemptresult.cpp
+++ b/src/router/internal/attemptresult.cpp
@@ -72,7 +72,8 @@
     result.outcome = AttemptOutcome::NotRun;
     result.cause = NotRunCause::NotSent;
     result.reason = RefusalReason::UpstreamUnreachable;
-  } else if (aError.code == ErrorCode::LimitExceeded) {
+  } else if (aError.code == ErrorCode::LimitExceeded ||
+             aError.code == ErrorCode::Malformed) {
     result.reason = RefusalReason::InvalidUpstreamResponse;
   }
   return result;
