Refuse broken header lines of callers in the router's server as well

A caller's request whose header names hold a blank or a control character, whose values hold one, or which names two lengths was handled: libmicrohttpd accepts it, and takes one with "Content-Length : 4" for a request without a body.

http::Server now checks names, values and framing before a request reaches its handler, and answers 400 and ends the connection. libmicrohttpd's own strict mode does not help: it also refuses requests without a Host, and still accepts these names. It joins folded lines by a space, which RFC 9112 permits, and drops lines without a name.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/exchange.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -11,6 +12,8 @@
 #include <unistd.h>
 #include <utility>
 
+#include "link/messagegrammar.h"
+
 namespace savoryrill::http {
 
 namespace {
@@ -26,6 +29,20 @@
            "\n" };
 }
 
+/// Response to a request whose header lines are none of the protocol. The connection
+/// ends, as the next request on it may not be where the caller has begun it.
+Response
+makeMalformedRequestResponse()
+{
+  return {
+    400,
+    { { "Content-Type", "application/problem+json" }, { "Connection", "close" } },
+    R"({"type":"urn:savoryrill:problem:malformed-header",)"
+    R"("title":"The request's header lines are malformed.","status":400,"ran":"no"})"
+    "\n"
+  };
+}
+
 constexpr Duration kSweepPeriod = 100ms;
 constexpr std::size_t kStreamBlockBytes = 16 * 1024;
 // Space for the read buffer in a connection's memory pool, in addition to the headers.
@@ -83,6 +100,7 @@
   MHD_Result beginRequest(MHD_Connection* aConnection,
                           const char* aUrl,
                           const char* aMethod,
+                          const char* aVersion,
                           void** aContext);
   MHD_Result continueRequest(const std::shared_ptr<ExchangeCore>& aCore,
                              const char* aUploadData,
@@ -300,14 +318,14 @@
                          MHD_Connection* aConnection,
                          const char* aUrl,
                          const char* aMethod,
-                         const char*,
+                         const char* aVersion,
                          const char* aUploadData,
                          size_t* aUploadSize,
                          void** aContext)
 {
   auto& self = *static_cast<ServerImpl*>(aSelf);
   if (*aContext == nullptr) {
-    return self.beginRequest(aConnection, aUrl, aMethod, aContext);
+    return self.beginRequest(aConnection, aUrl, aMethod, aVersion, aContext);
   }
   const auto core = *static_cast<std::shared_ptr<ExchangeCore>*>(*aContext);
   return self.continueRequest(core, aUploadData, aUploadSize);
@@ -317,6 +335,7 @@
 ServerImpl::beginRequest(MHD_Connection* aConnection,
                          const char* aUrl,
                          const char* aMethod,
+                         const char* aVersion,
                          void** aContext)
 {
   auto core = std::make_shared<ExchangeCore>();
@@ -326,15 +345,24 @@
     MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
   core->request.method = aMethod;
   core->request.path = aUrl;
-  MHD_get_connection_values(
+  link::HeaderList fields;
+  MHD_get_connection_values_n(
     aConnection,
     MHD_HEADER_KIND,
-    [](void* aRequest, MHD_ValueKind, const char* aKey, const char* aValue) {
-      auto& headers = static_cast<Request*>(aRequest)->headers;
-      headers[aKey] = aValue == nullptr ? "" : aValue;
+    [](void* aFields,
+       MHD_ValueKind,
+       const char* aKey,
+       size_t aKeySize,
+       const char* aValue,
+       size_t aValueSize) {
+      const std::string value(aValue == nullptr ? "" : aValue, aValueSize);
+      static_cast<link::HeaderList*>(aFields)->push_back({ { aKey, aKeySize }, value });
       return MHD_YES;
     },
-    &core->request);
+    &fields);
+  for (const auto& field : fields) {
+    core->request.headers[field.name] = field.value;
+  }
   MHD_get_connection_values(
     aConnection,
     MHD_GET_ARGUMENT_KIND,
@@ -355,6 +383,16 @@
   mExchanges.insert(core);
   *aContext = new std::shared_ptr<ExchangeCore>(core);
 
+  // libmicrohttpd accepts more than the protocol allows.
+  const bool fields_allowed = std::ranges::all_of(fields, [](const link::Header& aField) {
+    return link::isAllowedField(aField.name, aField.value);
+  });
+  if (!fields_allowed ||
+      !link::isAllowedFraming(fields, 0, std::string_view(aVersion) == "HTTP/1.0")) {
+    core->responseQueued = true;
+    setDeadline(aConnection, true, mOptions.limits.receiveTimeout);
+    return queueBufferedResponse(aConnection, makeMalformedRequestResponse());
+  }
   const std::string length(core->request.header("Content-Length"));
   const bool too_long = !length.empty() && std::strtoull(length.c_str(), nullptr, 10) >
                                              mOptions.limits.maxBodyBytes;
--- a/src/link/internal/messagegrammar.cpp
+++ b/src/link/internal/messagegrammar.cpp
@@ -67,6 +67,14 @@
   return aStatus >= kMinStatus && aStatus <= kMaxStatus && aStatus != kSwitchingProtocols;
 }
 
+bool
+isAllowedField(std::string_view aName, std::string_view aValue)
+{
+  return !aName.empty() && std::ranges::all_of(aName, isTokenCharacter) &&
+         std::ranges::all_of(
+           aValue, [](char aByte) { return isVisible(aByte) || isBlank(aByte); });
+}
+
 bool
 isAllowedFraming(const HeaderList& aHeaders, int aStatus, bool aIsHttp10)
 {
--- a/src/link/messagegrammar.h
+++ b/src/link/messagegrammar.h
@@ -19,6 +19,10 @@
 bool
 isResponseStatus(int aStatus);
 
+/// True if a header line may have this name and this value. Thread safe.
+bool
+isAllowedField(std::string_view aName, std::string_view aValue);
+
 /// True if the header lines of a message mark the end of its body, and the body can be
 /// passed on as it is: chunks are the only transfer coding, in HTTP/1.1 alone, and a
 /// length is a number. Interim responses and 204 have neither chunks nor a length above 0
