--- a/src/http/client.h
+++ b/src/http/client.h
@@ -34,7 +34,7 @@
 {
   /// Status, headers and, unless `onData` received it, body; or the transport error. A
   /// truncated response is an error, even if its status has arrived. Malformed: its head
-  /// or a trailer is none of the protocol.
+  /// or a trailer violates the protocol.
   Result<Response> response;
   /// False only if it is certain that no byte of the request left this process.
   bool requestSent = false;
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -421,7 +421,7 @@
     message = "the answer body is above the limit";
   } else if (aTransfer.malformed) {
     code = ErrorCode::Malformed;
-    message = "the answer's head is not one of the protocol";
+    message = "the answer's head or a trailer is malformed";
   } else if (aTransfer.forbidden) {
     code = ErrorCode::PermissionDenied;
     message = "the check before sending refused the request";
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -29,8 +29,8 @@
            "\n" };
 }
 
-/// Response to a request whose header lines are none of the protocol. The connection
-/// ends, as the next request on it may not be where the caller has begun it.
+/// Response to a request whose header lines violate the protocol. The connection is
+/// closed, since it is not known where the next request begins.
 Response
 makeMalformedRequestResponse()
 {
--- a/src/link/internal/outboundconnection.cpp
+++ b/src/link/internal/outboundconnection.cpp
@@ -224,8 +224,8 @@
       failExchange(ExchangeFault::NotConnected);
       return;
     } else {
-      // The socket reports its error only once, and later reads end as after an orderly
-      // end. EPIPE: the upstream had ended its side in order before.
+      // The socket reports its error only once, so a later `recv` returns 0 as after an
+      // orderly end. EPIPE: the upstream had ended its side in order before the reset.
       mInputBroken = errno != EPIPE;
       // The upstream may have sent a response before it closed the connection, so reading
       // continues. A value above 0 keeps the request marked as started.
--- a/src/link/outboundconnection.h
+++ b/src/link/outboundconnection.h
@@ -123,7 +123,7 @@
   bool mConnected = false;
   bool mReusable = true;
   bool mClosed = false;
-  bool mInputBroken = false; // sending failed: the end of the input is not orderly
+  bool mInputBroken = false; // a send took the error of the connection
   bool mPaused = false;
   bool mWatchesWritable = false;
   bool mWatchesReadable = false;
