--- a/review/11/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec "$(dirname "$0")/../harness-3/run-case.sh" "$(dirname "$0")" slow-reader-stop
