End all processes of a review script however the script ends

Cause: a run whose machines did not get ready left a gateway behind. Change: the stand-ins' gateways end with the process that started them, and a port is given out once only.

--- a/review/harness-3/standins.hpp
+++ b/review/harness-3/standins.hpp
@@ -21,9 +21,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <set>
 #include <sodium.h>
 #include <string>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -142,8 +144,10 @@
   return true;
 }
 
+/// A free port of loopback that this process has not given out yet.
 inline int freePort()
 {
+  static std::set<int> given;
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -152,7 +156,8 @@
   socklen_t size = sizeof address;
   (void)getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   close(fd);
-  return ntohs(address.sin_port);
+  const int port = ntohs(address.sin_port);
+  return given.insert(port).second ? port : freePort();
 }
 
 /// Connects to a port on loopback; -1 on failure. Values above 0 set the receive buffer and the largest segment.
@@ -545,6 +550,8 @@
   {
     mProcess = fork();
     if (mProcess == 0) {
+      // However the script ends, the process ends with it.
+      (void)prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int log = ::open(mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       (void)dup2(log, STDOUT_FILENO);
       (void)dup2(log, STDERR_FILENO);
