--- a/review/harness-3/runners.hpp
+++ b/review/harness-3/runners.hpp
@@ -161,6 +161,9 @@
       return sendAll(aFd, "HTTP/1.1 421 Misdirected Request\r\nX-Savoryrill-Instance-Id: " + aIncarnation +
                             "\r\nContent-Length: 0\r\n\r\n");
     }
+    if (aRequest.target == "/healthz") {
+      return sendAll(aFd, "HTTP/1.1 200 OK\r\nX-Savoryrill-Instance-Id: " + aIncarnation + "\r\nContent-Length: 0\r\n\r\n");
+    }
     if (aRequest.target == "/savoryrill/report") {
       Json::Value report(Json::objectValue);
       report["stage"] = "unified";
