Log which other prompt parts were in the crashes of a quarantined one

Change: prompt-decision lists the rivals of the part, with the crashes that they share, their place and the time since they were served.

--- a/src/gateway/internal/quarantinetask.cpp
+++ b/src/gateway/internal/quarantinetask.cpp
@@ -53,6 +53,22 @@
   return text;
 }
 
+/// PART:SHARED-CRASHES@POSITION, and /SECONDS since it was last served.
+std::string
+describe(const std::vector<PromptQuarantine::Decision::Rival>& aRivals)
+{
+  std::string text;
+  for (const auto& rival : aRivals) {
+    text.append(text.empty() ? "" : ",").append(rival.part);
+    text.append(":").append(std::to_string(rival.sharedCrashes));
+    text.append("@").append(std::to_string(rival.position));
+    if (rival.sinceServed) {
+      text.append("/").append(std::to_string(toMs(*rival.sinceServed) / 1000));
+    }
+  }
+  return text;
+}
+
 } // namespace
 
 QuarantineTask::QuarantineTask(Dependencies aDependencies, std::uint64_t aSeed)
@@ -201,6 +217,7 @@
                             { { "part", decision.part },
                               { "decision", nameOf(decision.kind) },
                               { "crashed", upstreamsOf(decision.crashes) },
+                              { "rivals", describe(decision.rivals) },
                               { "time_in_quarantine_ms", toMs(decision.time) } });
   }
   if (decisions.empty()) {
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -144,7 +144,9 @@
   4123,
   Severity::Warning,
   "prompt-decision",
-  "A prompt part is quarantined or no longer suspected; `crashed` lists the upstreams."
+  "A prompt part is quarantined or no longer suspected; `crashed` lists the upstreams, "
+  "`rivals` other parts in these crashes: how many they share, place in the prompt, and "
+  "seconds since they were served."
 };
 inline constexpr EventDefinition kQuarantineRowFailed{
   4124,
--- a/src/serving/internal/promptquarantine.cpp
+++ b/src/serving/internal/promptquarantine.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t kMaxParts = 512;
 constexpr std::size_t kMaxCrashesPerPart = 8;
 constexpr std::size_t kMaxServed = 8192;
+// Bounds a log line; rivals that share more crashes come first.
+constexpr std::size_t kMaxRivals = 8;
 
 Duration
 scaled(Duration aDuration, double aFactor)
@@ -88,6 +90,13 @@
   return true;
 }
 
+bool
+hasCrash(const PartEvidence& aEvidence, const std::string& aUpstream)
+{
+  return std::ranges::any_of(
+    aEvidence.crashes, [&](const auto& aCrash) { return aCrash.upstream == aUpstream; });
+}
+
 std::uint32_t
 positionOf(const PartEvidence& aEvidence)
 {
@@ -144,9 +153,7 @@
   return std::ranges::any_of(mParts, [&](const auto& aItem) {
     const auto& [name, part] = aItem;
     return name != aPart && inQuarantine(part.evidence, aNow) &&
-           std::ranges::any_of(part.evidence.crashes, [&](const auto& aCrash) {
-             return aCrash.upstream == aUpstream;
-           });
+           hasCrash(part.evidence, aUpstream);
   });
 }
 
@@ -205,7 +212,7 @@
   const auto least = std::ranges::min_element(
     mParts, {}, [&](const auto& aItem) { return rank(aItem.second.evidence); });
   if (least->second.evidence.quarantinedUntil) {
-    mDecisions.push_back({ Decision::Kind::Expired, least->first, {}, {} });
+    mDecisions.push_back({ Decision::Kind::Expired, least->first, {}, {}, {} });
   }
   mParts.erase(least);
 }
@@ -310,7 +317,7 @@
   const bool was_quarantined = evidence.quarantinedUntil.has_value();
   evidence.quarantinedUntil.reset();
   if (was_quarantined) {
-    mDecisions.push_back({ Decision::Kind::Served, aPart, before, {} });
+    mDecisions.push_back({ Decision::Kind::Served, aPart, before, {}, {} });
   }
   if (evidence.crashes.empty()) {
     mParts.erase(found);
@@ -318,6 +325,29 @@
   return was_quarantined || !before.empty();
 }
 
+std::vector<PromptQuarantine::Decision::Rival>
+PromptQuarantine::rivalsOf(const PartEvidence& aEvidence, Instant aNow) const
+{
+  std::vector<Decision::Rival> rivals;
+  for (const auto& [name, part] : mParts) {
+    const auto shared =
+      std::ranges::count_if(part.evidence.crashes, [&](const auto& aCrash) {
+        return hasCrash(aEvidence, aCrash.upstream);
+      });
+    if (name == aEvidence.part || shared == 0) {
+      continue;
+    }
+    const auto served = lastServed(name);
+    rivals.push_back({ name,
+                       static_cast<std::size_t>(shared),
+                       positionOf(part.evidence),
+                       served ? std::optional(aNow - *served) : std::nullopt });
+  }
+  std::ranges::sort(rivals, std::ranges::greater{}, &Decision::Rival::sharedCrashes);
+  rivals.resize(std::min(rivals.size(), kMaxRivals));
+  return rivals;
+}
+
 void
 PromptQuarantine::quarantine(Part& aPart, Instant aNow)
 {
@@ -331,7 +361,8 @@
   mDecisions.push_back({ Decision::Kind::Quarantined,
                          evidence.part,
                          evidence.crashes,
-                         evidence.quarantineTime });
+                         evidence.quarantineTime,
+                         rivalsOf(evidence, aNow) });
 }
 
 void
@@ -344,9 +375,7 @@
       continue;
     }
     std::erase_if(evidence.crashes, [&](const UpstreamCrash& aCrash) {
-      return std::ranges::any_of(aQuarantined.crashes, [&](const auto& aExplained) {
-        return aExplained.upstream == aCrash.upstream;
-      });
+      return hasCrash(aQuarantined, aCrash.upstream);
     });
     const bool empty = evidence.crashes.empty() && !evidence.quarantinedUntil;
     item = empty ? mParts.erase(item) : std::next(item);
@@ -411,7 +440,8 @@
     mDecisions.push_back({ Decision::Kind::Quarantined,
                            aEvidence.part,
                            part.evidence.crashes,
-                           *until - aNow });
+                           *until - aNow,
+                           rivalsOf(part.evidence, aNow) });
   }
   if (changed && inQuarantine(part.evidence, aNow)) {
     dropExplainedCrashes(PartEvidence(part.evidence), aNow);
@@ -531,7 +561,7 @@
       continue;
     }
     if (evidence.quarantinedUntil) {
-      mDecisions.push_back({ Decision::Kind::Expired, evidence.part, {}, {} });
+      mDecisions.push_back({ Decision::Kind::Expired, evidence.part, {}, {}, {} });
     }
     item = mParts.erase(item);
   }
--- a/src/serving/promptquarantine.h
+++ b/src/serving/promptquarantine.h
@@ -94,6 +94,15 @@
     std::string part;
     std::vector<UpstreamCrash> crashes; // that decided it
     Duration time{};                    // for which it is quarantined
+    /// Another part that was in some of the crashes, and so may have caused them instead.
+    struct Rival
+    {
+      std::string part;
+      std::size_t sharedCrashes = 0;
+      std::uint32_t position = 0;            // in the prompts, the highest one
+      std::optional<Duration> sinceServed{}; // nullopt: not known to have been served
+    };
+    std::vector<Rival> rivals; // of a part that is quarantined
   };
   /// Returns the decisions since the last call, oldest first.
   std::vector<Decision> takeDecisions();
@@ -124,6 +133,8 @@
                    Instant aNow) const;
   /// True if the crashes suffice for a quarantine.
   bool hasEnoughEvidence(const PartEvidence& aEvidence, Instant aNow) const;
+  std::vector<Decision::Rival> rivalsOf(const PartEvidence& aEvidence,
+                                        Instant aNow) const;
   void quarantine(Part& aPart, Instant aNow);
   /// Quarantines all parts against which there is enough evidence; returns their names.
   std::vector<std::string> decide(Instant aNow);
