--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -251,9 +251,8 @@
   4142,
   Severity::Info,
   "prompt-probed",
-  "A request is sent whose result clears the suspected prompt parts that it has, or "
-  "those "
-  "that it does not have."
+  "A request with a suspected prompt part is sent, since its result shows whether one of "
+  "the `parts` is the cause."
 };
 inline constexpr EventDefinition kCallHeld{
   4143,
--- a/src/serving/internal/promptquarantine.cpp
+++ b/src/serving/internal/promptquarantine.cpp
@@ -329,16 +329,13 @@
 {
   std::vector<Decision::Rival> rivals;
   for (const auto& [name, part] : mParts) {
-    const auto shared =
-      std::ranges::count_if(part.evidence.crashes, [&](const auto& aCrash) {
-        return hasCrash(aEvidence, aCrash.upstream);
-      });
+    const auto shared = sharedCrashes(part.evidence, aEvidence);
     if (name == aEvidence.part || shared == 0) {
       continue;
     }
     const auto served = lastServed(name);
     rivals.push_back({ name,
-                       static_cast<std::size_t>(shared),
+                       shared,
                        positionOf(part.evidence),
                        served ? std::optional(aNow - *served) : std::nullopt });
   }
@@ -409,6 +406,14 @@
 void
 PromptQuarantine::conclude(std::set<std::string>& aChanged, Instant aNow)
 {
+  for (auto& decision : mDecisions) {
+    // Quarantines of other hosts; their rivals are known once a message has been merged.
+    const auto found = mParts.find(decision.part);
+    if (decision.kind == Decision::Kind::Quarantined && decision.rivals.empty() &&
+        found != mParts.end()) {
+      decision.rivals = rivalsOf(found->second.evidence, aNow);
+    }
+  }
   for (const auto& name : aChanged) {
     if (const auto found = mParts.find(name);
         found != mParts.end() && inQuarantine(found->second.evidence, aNow)) {
@@ -459,7 +464,7 @@
                            aEvidence.part,
                            part.evidence.crashes,
                            *until - aNow,
-                           rivalsOf(part.evidence, aNow) });
+                           {} });
   }
   return changed;
 }
--- a/src/serving/promptquarantine.h
+++ b/src/serving/promptquarantine.h
@@ -26,9 +26,9 @@
 /// Parts that came in the same crashes are quarantined together, as suspects of which one
 /// is the cause. A request with all of them is refused. Requests with some of them are
 /// let through one at a time: one that is served clears the parts that it has, and one
-/// whose upstream crashes clears the others. The suspects follow from the crashes of each
-/// part, so they outlast whatever the evidence does. See
-/// docs/design/prompt-quarantine.md.
+/// whose upstream crashes shows that the cause is among them. Which parts are suspected
+/// in place of each other follows from their crashes, so hosts and rows that have the
+/// crashes need nothing else. See docs/design/prompt-quarantine.md.
 ///
 /// The evidence is merged like a set, so hosts may receive it in any order and more than
 /// once. All memory is bounded. Not thread safe; no I/O.
