--- a/src/serving/tests/promptquarantinetest.cpp
+++ b/src/serving/tests/promptquarantinetest.cpp
@@ -486,6 +486,24 @@
   CHECK_TRUE(isRefused({ kDeadly }));
 }
 
+// Guards against sound parts that stay in quarantine since nobody asked for them while
+// the first one lasted.
+TEST(PromptQuarantine, SuspectsInSecondQuarantine_OnlyDeadlyPartRefused)
+{
+  const std::vector<std::string> prompt{ kCommon, kDeadly, kShared };
+  crashSome(3, prompt);
+  now += std::chrono::minutes(3);
+  CHECK_FALSE(isRefused(prompt, "first"));
+  crash(quarantine, prompt);
+  quarantine.releaseProbe("first");
+  now += 10ms;
+  CHECK_TRUE(isRefused(prompt));
+  CHECK_FALSE(isRefused({ kCommon, kShared }, "probe"));
+  quarantine.recordServed({ kCommon, kShared }, now);
+  CHECK_FALSE(isRefused({ kCommon, kShared }));
+  CHECK_TRUE(isRefused({ kDeadly }));
+}
+
 // Guards against hosts that all let a request through at the same moment.
 TEST(PromptQuarantine, HostsWithSuspects_BeginAtDifferentTimes)
 {
